fix(cloverpost-core): the limiter keeps its first bounds again

Cause: the shared limiter settled at 22 where an upstream's queue begins at 16 (a mean first-byte time of four baselines was borne), and lost a tenth a window, so that a fivefold wait took five windows to lower it by a quarter. Ruled out: a smaller step up; the limit then takes longer to find the same place. Change: a window counts as waiting from 2.5 baselines on and takes 15 in 100. The third bound that had been dropped is back: the limit rises in spite of one slow answer.

--- a/crates/cloverpost-core/src/overload/limiter.rs
+++ b/crates/cloverpost-core/src/overload/limiter.rs
@@ -30,7 +30,7 @@
         Self {
             start: 4,
             max: 64,
-            tolerance: 4.0,
+            tolerance: 2.5,
             window: 32,
             offset: 0.0,
         }
@@ -38,7 +38,7 @@
 }
 
 /// Factor on the limit after a window with waiting.
-const DECREASE: f64 = 0.9;
+const DECREASE: f64 = 0.85;
 
 /// Factor on the limit after a window with refusals for overload.
 const REFUSED: f64 = 0.7;
--- a/crates/cloverpost-core/tests/behaviour/overload/limiter.rs
+++ b/crates/cloverpost-core/tests/behaviour/overload/limiter.rs
@@ -183,3 +183,15 @@
     pool.answers(96, 500);
     assert!(pool.limit() <= before * 3 / 4, "{}", pool.limit());
 }
+
+// One long prompt among short ones is no sign of waiting: the limit has to rise as if
+// it had not come. Held back by it, the pool stays idle while requests wait on the VM.
+#[test]
+fn the_limit_rises_in_spite_of_one_slow_answer() {
+    let mut pool = Pool::new(1, 0.0);
+    pool.answers(2_000, 100);
+    let before = pool.limit();
+    pool.answers(1, 700);
+    pool.answers(159, 100);
+    assert!(pool.limit() > before, "{} after {before}", pool.limit());
+}
