--- a/crates/cloverpost-cli/src/flags.rs
+++ b/crates/cloverpost-cli/src/flags.rs
@@ -58,6 +58,14 @@
             optional --platform-timeout duration: String
         }
 
+        /// Run an entry VM on the users' platform.
+        cmd gateway {
+            /// Settings file (CLOVERPOST_CONFIG).
+            optional --settings file: PathBuf
+            /// Check the settings and exit.
+            optional --check
+        }
+
         /// Read and edit the catalogue of a running VM.
         cmd catalogue {
             /// Print the newest catalogue.
--- a/crates/cloverpost-cli/src/main.rs
+++ b/crates/cloverpost-cli/src/main.rs
@@ -4,6 +4,7 @@
 mod catalogue;
 mod failure;
 mod flags;
+mod gateway;
 mod measure;
 mod serve;
 mod signal;
@@ -35,6 +36,7 @@
     use flags::CloverpostCmd as Command;
     match flags.subcommand {
         Command::Serve(flags) => serve::run(flags),
+        Command::Gateway(flags) => gateway::run(&flags),
         Command::Catalogue(flags) => catalogue::run(flags),
         Command::Standin(flags) => standin::run(flags),
         Command::Demo(flags) => measure::demo(&flags),
--- /dev/null
+++ b/crates/cloverpost-core/src/balance/load.rs
@@ -0,0 +1,111 @@
+//! Load and health of one upstream.
+
+use std::time::Duration;
+
+use crate::balance::{Event, Options};
+use crate::time;
+
+/// Part of a new latency in the mean: twenty answers make the mean.
+const LATENCY_PART: f64 = 0.1;
+/// Part of a new result in the share of failures.
+const FAILING_PART: f64 = 0.08;
+/// Bounds of how slow an upstream may look against the usual; a first answer may
+/// be a long prompt.
+const SLOWNESS: (f64, f64) = (0.7, 8.0);
+
+/// Load and health of one upstream, as this VM's requests show them.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// Requests of this VM that run there.
+    pub in_flight: u32,
+    /// Mean time to the start of an answer, in seconds.
+    pub(super) latency: Option<f64>,
+    /// Share of failed answers, lately.
+    pub(super) failing: f64,
+    /// When something last came from it.
+    pub(super) heard: time::Moment,
+    /// Failures since the last success.
+    failures: u32,
+    /// Times it was left out since the last success.
+    shunned: u32,
+    /// Until when it is left out.
+    until: Option<time::Moment>,
+}
+
+impl Load {
+    /// An upstream of which nothing is known.
+    pub(super) const fn idle() -> Self {
+        Self {
+            in_flight: 0,
+            latency: None,
+            failing: 0.0,
+            heard: time::Moment::from_millis(0),
+            failures: 0,
+            shunned: 0,
+            until: None,
+        }
+    }
+
+    /// Whether it may get a request. After its time out one request is the test.
+    pub(super) fn takes(&self, now: time::Moment) -> bool {
+        self.until
+            .is_none_or(|until| now >= until && self.in_flight == 0)
+    }
+
+    pub(super) fn shunned_until(&self) -> Option<time::Moment> {
+        self.until
+    }
+
+    /// Its latency as a multiple of the usual one.
+    pub(super) fn slowness(&self, typical: Option<f64>) -> f64 {
+        match (self.latency, typical) {
+            (Some(own), Some(typical)) if typical > 0.0 => {
+                (own / typical).clamp(SLOWNESS.0, SLOWNESS.1)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Takes in what a request showed; whether it is left out from now on.
+    pub(super) fn note(&mut self, event: Event, now: time::Moment, options: &Options) -> bool {
+        match event {
+            Event::Began(latency) => self.began(latency, now),
+            Event::Heard | Event::Full => self.heard = now,
+            Event::Succeeded => self.result(0.0),
+            Event::Failed => self.result(1.0),
+            Event::Broke => return self.failed(1, now, options),
+            Event::Refused | Event::Silent => return self.failed(options.failures, now, options),
+        }
+        false
+    }
+
+    fn began(&mut self, latency: Duration, now: time::Moment) {
+        let latency = latency.as_secs_f64();
+        let mean = self.latency.unwrap_or(latency);
+        self.latency = Some(mean + (latency - mean) * LATENCY_PART);
+        self.heard = now;
+        self.failures = 0;
+        self.shunned = 0;
+        self.until = None;
+    }
+
+    fn result(&mut self, failed: f64) {
+        self.failing += (failed - self.failing) * FAILING_PART;
+    }
+
+    fn failed(&mut self, weight: u32, now: time::Moment, options: &Options) -> bool {
+        self.result(1.0);
+        self.failures += weight;
+        if self.failures < options.failures {
+            return false;
+        }
+        let is_shunned = self.until.is_some_and(|until| now < until);
+        if is_shunned {
+            return false;
+        }
+        let pause = options.shun * 2_u32.saturating_pow(self.shunned.min(8));
+        self.until = Some(now + pause.min(options.shun_max));
+        self.shunned += 1;
+        true
+    }
+}
--- a/crates/cloverpost-core/src/choice/affinity.rs
+++ b/crates/cloverpost-core/src/choice/affinity.rs
@@ -21,7 +21,8 @@
     /// Rendezvous score of the upstream with `key`: the highest is home.
     ///
     /// The finaliser of `SplitMix64`, which spreads each input bit over the word.
-    const fn score(self, key: u64) -> u64 {
+    #[must_use]
+    pub const fn score(self, key: u64) -> u64 {
         let word = self.0 ^ key;
         let word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         let word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- /dev/null
+++ b/crates/cloverpost-core/src/directory/member.rs
@@ -0,0 +1,19 @@
+//! Entry VMs, as the store lists them.
+
+use std::net::SocketAddr;
+
+use crate::id;
+
+/// An entry VM that peers may ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub vm: id::Vm,
+    /// Availability zone that it stands in.
+    pub zone: id::AvailabilityZone,
+    /// Where it takes links of peers.
+    pub address: SocketAddr,
+    /// Reading of the store's clock when it last wrote its row, in milliseconds.
+    pub seen_ms: u64,
+}
--- /dev/null
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -0,0 +1,36 @@
+//! What a VM believes of its surroundings: configuration, upstreams, roll-outs.
+//!
+//! The platform's store holds it as rows in a few tables. An [`Image`] is one
+//! VM's copy of them, kept by change feeds, by whole reads and by what peers
+//! tell; the newest version of a table wins, whoever brought it. A
+//! [`View`] is what the request path reads: indexes over one state of the image.
+
+mod configuration;
+mod image;
+mod index;
+mod kind;
+mod limits;
+mod member;
+mod message;
+mod organisation;
+mod rollout;
+mod route;
+mod service;
+mod table;
+mod upstream;
+mod view;
+
+pub use configuration::Configuration;
+pub use image::{Image, Page, Rows, Versions};
+pub use index::{Index, Sender, Unrouted};
+pub use kind::Kind;
+pub use limits::Limits;
+pub use member::Member;
+pub use message::Message;
+pub use organisation::Organisation;
+pub use rollout::{Order, Progress, State};
+pub use route::{Destination, Route};
+pub use service::{Model, Service};
+pub use table::{Change, Row, Table, Version};
+pub use upstream::Upstream;
+pub use view::{Allowed, Pool, Rollout, View};
--- /dev/null
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -0,0 +1,136 @@
+//! What the request path reads.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::directory::{Image, Index, Order, Progress, State, Upstream};
+use crate::id;
+
+/// The versions of a service that take requests.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Allowed {
+    /// All upstreams run one version, or which one runs is not known to matter.
+    Any,
+    /// This version only.
+    Only(id::Version),
+    /// Every version but this one, which was found bad or waits for its start.
+    Except(id::Version),
+    /// A roll-out is under way: a share of the requests goes to `target`.
+    Rollout(Rollout),
+}
+
+/// A roll-out that is under way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rollout {
+    /// The version that the service moves to.
+    pub target: id::Version,
+    /// Reading of the store's clock at its start, in milliseconds.
+    pub started_ms: u64,
+    /// Time within which it is to be done, in milliseconds.
+    pub duration_ms: u64,
+}
+
+/// The upstreams of a service and which of them may be used.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// Upstreams that have not said that they leave.
+    pub upstreams: Vec<Arc<Upstream>>,
+    /// Versions that take requests.
+    pub allowed: Allowed,
+}
+
+/// Indexes over one state of an [`Image`].
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration; `None` before any is known.
+    pub index: Option<Arc<Index>>,
+    /// Pools by service.
+    pub pools: BTreeMap<id::Pool, Pool>,
+}
+
+impl View {
+    /// Indexes `image` and the upstreams `missing` from it that are still used; the
+    /// index of the configuration is taken from `last` if that has not changed.
+    #[must_use]
+    pub fn new(image: &Image, missing: &[&Upstream], last: &Self) -> Self {
+        let configuration = image.configuration.rows.values().next();
+        let index = configuration.map(|row| match &last.index {
+            Some(index) if index.number() == row.value.number => index.clone(),
+            _ => Arc::new(Index::new(&row.value)),
+        });
+        let mut pools = BTreeMap::<id::Pool, Pool>::new();
+        let listed = image.upstreams.rows.values().map(|row| &row.value);
+        let listed = listed.filter(|one| !one.is_leaving);
+        for upstream in listed.chain(missing.iter().copied()) {
+            let pool = pools
+                .entry(upstream.service.clone())
+                .or_insert_with(|| Pool {
+                    upstreams: Vec::new(),
+                    allowed: allowed(image, &upstream.service),
+                });
+            pool.upstreams.push(Arc::new(upstream.clone()));
+        }
+        Self { index, pools }
+    }
+}
+
+/// Which versions of `service` take requests.
+fn allowed(image: &Image, service: &id::Pool) -> Allowed {
+    let progress = image
+        .progress
+        .rows
+        .get(service.as_str())
+        .map(|row| &row.value);
+    let Some(order) = image.orders.rows.get(service.as_str()) else {
+        return image
+            .upstreams
+            .rows
+            .values()
+            .map(|row| &row.value)
+            .filter(|one| one.service == *service)
+            .fold(Versions::default(), Versions::count)
+            .allowed();
+    };
+    match progress.filter(|progress| progress.answers(&order.value, order.version)) {
+        None => Allowed::Except(order.value.target.clone()),
+        Some(progress) => under_way(&order.value, progress),
+    }
+}
+
+fn under_way(order: &Order, progress: &Progress) -> Allowed {
+    match progress.state {
+        State::Completed => Allowed::Only(progress.target.clone()),
+        State::Reverted => Allowed::Except(progress.target.clone()),
+        State::InProgress => Allowed::Rollout(Rollout {
+            target: progress.target.clone(),
+            started_ms: progress.started_ms,
+            duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
+        }),
+    }
+}
+
+/// How many upstreams run each version.
+///
+/// A version that appears before the order that brings it must wait for it:
+/// upstreams and orders come by different feeds, and a request that reaches the
+/// new version before its roll-out counts against it.
+#[derive(Default)]
+struct Versions<'a>(BTreeMap<&'a id::Version, usize>);
+
+impl<'a> Versions<'a> {
+    fn count(mut self, upstream: &'a Upstream) -> Self {
+        *self.0.entry(&upstream.version).or_default() += 1;
+        self
+    }
+
+    fn allowed(self) -> Allowed {
+        if self.0.len() < 2 {
+            return Allowed::Any;
+        }
+        let most = self
+            .0
+            .into_iter()
+            .max_by_key(|(version, count)| (*count, std::cmp::Reverse(*version)));
+        most.map_or(Allowed::Any, |(version, _)| Allowed::Only(version.clone()))
+    }
+}
--- a/crates/cloverpost-core/src/dispatch/failed.rs
+++ b/crates/cloverpost-core/src/dispatch/failed.rs
@@ -15,6 +15,9 @@
         within_budget: impl FnOnce() -> bool,
     ) -> Next {
         self.attempts += 1;
+        if failure.ran() != Ran::No {
+            self.runs += 1;
+        }
         self.ran = worse(self.ran, failure.ran());
         let retry = self.may_retry(now) && (failure.is_free_to_retry() || within_budget());
         if retry {
@@ -48,7 +51,9 @@
     fn may_retry(&self, now: time::Moment) -> bool {
         let safe = self.options.repeatable || self.ran == Ran::No;
         let in_time = now < self.options.deadline;
-        safe && in_time && self.attempts < self.options.max_attempts
+        let is_left =
+            self.attempts < self.options.max_attempts && self.runs < self.options.max_runs;
+        safe && in_time && is_left
     }
 }
 
--- a/crates/cloverpost-core/src/dispatch/mod.rs
+++ b/crates/cloverpost-core/src/dispatch/mod.rs
@@ -21,6 +21,8 @@
     pub repeatable: bool,
     /// Most attempts, the first included.
     pub max_attempts: u32,
+    /// Most attempts that may have run the request, the first included.
+    pub max_runs: u32,
     /// When the answer must be whole.
     pub deadline: time::Moment,
 }
@@ -30,6 +32,7 @@
 pub struct Dispatch {
     options: Options,
     attempts: u32,
+    runs: u32,
     ran: refusal::Ran,
 }
 
@@ -40,6 +43,7 @@
         Self {
             options,
             attempts: 0,
+            runs: 0,
             ran: refusal::Ran::No,
         }
     }
@@ -50,6 +54,19 @@
         self.attempts
     }
 
+    /// Notes an attempt that ran and whose answer is not used.
+    pub fn dropped(&mut self) {
+        self.attempts += 1;
+        self.runs += 1;
+        self.ran = refusal::Ran::Yes;
+    }
+
+    /// Whether another attempt may run the request besides one that is under way.
+    #[must_use]
+    pub fn has_run_left(&self) -> bool {
+        self.runs + 1 < self.options.max_runs
+    }
+
     /// Whether any attempt may have run the request.
     #[must_use]
     pub fn ran(&self) -> refusal::Ran {
--- /dev/null
+++ b/crates/cloverpost-core/src/exposure/mod.rs
@@ -0,0 +1,12 @@
+//! How much of the traffic a new version gets.
+//!
+//! Every VM works the share out by itself from the roll-out's start and length
+//! and the store's clock, so that no message is needed for VMs to agree. It is
+//! constant through the first half, in which a session must stay on the version
+//! that it began with, and rises once nothing was found wrong.
+
+mod sessions;
+mod stage;
+
+pub use sessions::Sessions;
+pub use stage::{Stage, stage};
--- /dev/null
+++ b/crates/cloverpost-core/src/exposure/sessions.rs
@@ -0,0 +1,41 @@
+//! Which version a session runs on.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::id;
+use crate::time;
+
+/// Sessions that are remembered at most; beyond it the oldest half goes. At 60
+/// bytes each this is a quarter of a megabyte.
+const MOST: usize = 4096;
+
+/// Versions of the sessions that this VM has served lately.
+#[derive(Clone, Debug, Default)]
+pub struct Sessions {
+    versions: HashMap<u64, (id::Version, time::Moment)>,
+}
+
+impl Sessions {
+    /// The version on which `session` ran within `span`.
+    #[must_use]
+    pub fn version(&self, session: u64, now: time::Moment, span: Duration) -> Option<&id::Version> {
+        let (version, seen) = self.versions.get(&session)?;
+        (now.since(*seen) < span).then_some(version)
+    }
+
+    /// Notes that `session` runs on `version`.
+    pub fn note(&mut self, session: u64, version: &id::Version, now: time::Moment) {
+        if self.versions.len() >= MOST {
+            self.forget_older_half();
+        }
+        self.versions.insert(session, (version.clone(), now));
+    }
+
+    fn forget_older_half(&mut self) {
+        let mut seen: Vec<_> = self.versions.values().map(|(_, seen)| *seen).collect();
+        seen.sort_unstable();
+        let middle = seen[seen.len() / 2];
+        self.versions.retain(|_, (_, seen)| *seen > middle);
+    }
+}
--- a/crates/cloverpost-core/src/id/mod.rs
+++ b/crates/cloverpost-core/src/id/mod.rs
@@ -21,6 +21,7 @@
 mod run;
 mod session;
 pub(crate) mod text;
+mod upstream;
 mod version;
 mod vm;
 
@@ -42,5 +43,6 @@
 pub use run::Run;
 pub use session::Session;
 pub use text::Error;
+pub use upstream::Upstream;
 pub use version::Version;
 pub use vm::Vm;
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -6,14 +6,17 @@
 //! passed in, so that a seed reproduces a run.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+pub mod balance;
 pub mod billing;
 pub mod budget;
 pub mod capacity;
 pub mod catalogue;
 pub mod choice;
 pub mod claim;
+pub mod directory;
 pub mod dispatch;
 pub mod evidence;
+pub mod exposure;
 pub mod id;
 pub mod lease;
 pub mod limit;
--- a/crates/cloverpost-core/src/rollout/assess.rs
+++ b/crates/cloverpost-core/src/rollout/assess.rs
@@ -33,7 +33,7 @@
         return Verdict::Wait;
     }
     let since = row.since_mark(known);
-    if is_worse(since, options) {
+    if is_worse_in_stage(since, options) {
         Verdict::Halt
     } else if held >= options.hold && is_as_good(since, options) {
         Verdict::Advance
@@ -43,10 +43,16 @@
 }
 
 /// Each stage may halt falsely; together they keep the stated rate.
-fn is_worse(since: Evidence, options: &Options) -> bool {
+fn is_worse_in_stage(since: Evidence, options: &Options) -> bool {
     let stages = u32::try_from(options.shares.len()).unwrap_or(u32::MAX);
-    let rate = options.false_halt / f64::from(stages.max(1));
-    test::below(since.new, test::lower(since.old)) >= 1.0 / rate
+    is_worse(since, options.false_halt / f64::from(stages.max(1)))
+}
+
+/// Whether the new version is worse; `false_halt` is the share of versions as good
+/// as before of which this is ever said, however often it is asked.
+#[must_use]
+pub fn is_worse(evidence: Evidence, false_halt: f64) -> bool {
+    test::below(evidence.new, test::lower(evidence.old)) >= 1.0 / false_halt
 }
 
 /// A bad version must pass this in every stage; the first alone keeps the rate.
--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -0,0 +1,179 @@
+//! Choice of an upstream by this VM's own requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverpost_core::balance::{Balance, Event, Options, Want};
+use cloverpost_core::{choice, directory, id, time};
+
+fn upstream(id: &str, zone: &str) -> Arc<directory::Upstream> {
+    Arc::new(directory::Upstream {
+        id: id.parse().unwrap(),
+        service: "app".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        version: "v1".parse().unwrap(),
+        slots: 8,
+        is_leaving: false,
+    })
+}
+
+struct Scene {
+    balance: Balance,
+    upstreams: Vec<Arc<directory::Upstream>>,
+    now: time::Moment,
+}
+
+impl Scene {
+    fn new(zones: &[&str]) -> Self {
+        let upstreams = zones.iter().enumerate();
+        let upstreams = upstreams.map(|(number, zone)| upstream(&format!("i-{number}"), zone));
+        Self {
+            balance: Balance::new(Options::default()),
+            upstreams: upstreams.collect(),
+            now: time::Moment::from_millis(1_000),
+        }
+    }
+
+    fn choose_for(
+        &self,
+        affinity: Option<choice::Affinity>,
+        tried: &[id::Upstream],
+    ) -> Option<String> {
+        let zone = "a".parse().unwrap();
+        let want = Want {
+            zone: &zone,
+            affinity,
+            tried,
+        };
+        let chosen = self.balance.choose(self.upstreams.iter(), &want, self.now);
+        chosen.map(|one| one.id.to_string())
+    }
+
+    fn choose(&self) -> String {
+        self.choose_for(None, &[]).unwrap()
+    }
+
+    fn note(&mut self, number: usize, event: Event) {
+        let id = self.upstreams[number].id.clone();
+        self.balance.note(&id, event, self.now);
+    }
+}
+
+#[test]
+fn the_own_zone_goes_first() {
+    assert_eq!(Scene::new(&["b", "a", "b"]).choose(), "i-1");
+}
+
+#[test]
+fn a_full_own_zone_spills_over() {
+    let mut scene = Scene::new(&["a", "b"]);
+    let own = scene.upstreams[0].id.clone();
+    (0..6).for_each(|_| scene.balance.start(&own));
+    assert_eq!(scene.choose(), "i-1");
+    (0..6).for_each(|_| scene.balance.finish(&own));
+    assert_eq!(scene.choose(), "i-0");
+}
+
+#[test]
+fn a_prompt_finds_its_upstream_again() {
+    let scene = Scene::new(&["a", "a", "a", "a"]);
+    for prompt in ["x", "y", "z"] {
+        let affinity = Some(choice::Affinity::of(prompt.as_bytes()));
+        assert_eq!(
+            scene.choose_for(affinity, &[]),
+            scene.choose_for(affinity, &[])
+        );
+    }
+}
+
+#[test]
+fn an_upstream_that_failed_the_request_is_not_asked_again() {
+    let scene = Scene::new(&["a", "a"]);
+    let tried = ["i-0".parse().unwrap()];
+    assert_eq!(scene.choose_for(None, &tried).as_deref(), Some("i-1"));
+    let both = ["i-0".parse().unwrap(), "i-1".parse().unwrap()];
+    assert_eq!(scene.choose_for(None, &both), None);
+}
+
+#[test]
+fn a_silent_upstream_is_left_out_and_tried_later() {
+    // An upstream loses its power: what is sent there hangs. It gets nothing for a while,
+    // then one request as a test.
+    let mut scene = Scene::new(&["a", "b"]);
+    scene.note(0, Event::Silent);
+    assert_eq!(scene.choose(), "i-1");
+    scene.now = scene.now + Duration::from_secs(1);
+    assert_eq!(scene.choose(), "i-0");
+    scene.balance.start(&"i-0".parse().unwrap());
+    assert_eq!(scene.choose(), "i-1");
+}
+
+#[test]
+fn one_broken_connection_is_no_fault_of_the_upstream() {
+    let mut scene = Scene::new(&["a", "b"]);
+    scene.note(0, Event::Broke);
+    assert_eq!(scene.choose(), "i-0");
+    scene.note(0, Event::Broke);
+    assert_eq!(scene.choose(), "i-1");
+}
+
+#[test]
+fn with_all_under_suspicion_one_is_asked_all_the_same() {
+    let mut scene = Scene::new(&["a", "a"]);
+    scene.note(0, Event::Silent);
+    scene.note(1, Event::Silent);
+    assert!(scene.choose_for(None, &[]).is_some());
+}
+
+#[test]
+fn an_upstream_that_fails_more_than_others_gets_less() {
+    // Its health check is good and it answers fast, but two in five of its answers are
+    // failures.
+    let mut scene = Scene::new(&["a", "a", "a"]);
+    for round in 0..20 {
+        for number in 0..3 {
+            let failed = number == 0 && round % 5 < 2;
+            scene.note(
+                number,
+                if failed {
+                    Event::Failed
+                } else {
+                    Event::Succeeded
+                },
+            );
+        }
+    }
+    for number in 1..3 {
+        let id = scene.upstreams[number].id.clone();
+        scene.balance.start(&id);
+    }
+    assert_ne!(scene.choose(), "i-0");
+}
+
+#[test]
+fn a_slow_upstream_gets_less() {
+    let mut scene = Scene::new(&["a", "a", "a"]);
+    for _ in 0..20 {
+        for (number, millis) in [(0, 800), (1, 100), (2, 100)] {
+            scene.note(number, Event::Began(Duration::from_millis(millis)));
+        }
+    }
+    for number in 1..3 {
+        let id = scene.upstreams[number].id.clone();
+        scene.balance.start(&id);
+    }
+    assert_ne!(scene.choose(), "i-0");
+}
+
+#[test]
+fn silence_counts_from_the_last_sign_on_any_request() {
+    let mut scene = Scene::new(&["a"]);
+    let sent = scene.now;
+    let id = scene.upstreams[0].id.clone();
+    scene.now = scene.now + Duration::from_millis(700);
+    scene.note(0, Event::Heard);
+    scene.now = scene.now + Duration::from_millis(100);
+    let silence = scene.balance.silence(&id, sent, scene.now);
+    assert_eq!(silence, Duration::from_millis(100));
+}
--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/directory/image.rs
@@ -0,0 +1,116 @@
+//! The copy of the store's tables.
+
+use cloverpost_core::directory::{Change, Image, Page, Rows, Upstream, Version};
+use proptest::prelude::*;
+
+use super::{change, configuration, upstream};
+
+fn page(version: u64, changes: Vec<Change<Upstream>>) -> Page {
+    Page {
+        rows: Rows::Upstreams(changes),
+        version: Version::new(version),
+        now_ms: 0,
+    }
+}
+
+fn names(image: &Image) -> Vec<&str> {
+    image.upstreams.rows.keys().map(String::as_str).collect()
+}
+
+#[test]
+fn a_feed_adds_and_removes_rows() {
+    let mut image = Image::default();
+    assert!(image.apply(page(5, vec![change("i-1", 5, Some(upstream("i-1", "v1")))])));
+    assert!(image.apply(page(6, vec![change("i-1", 6, None)])));
+    assert!(names(&image).is_empty());
+}
+
+#[test]
+fn a_heartbeat_without_news_is_no_change() {
+    let mut image = Image::default();
+    image.apply(page(5, vec![change("i-1", 5, Some(upstream("i-1", "v1")))]));
+    assert!(!image.apply(page(6, vec![change("i-1", 6, Some(upstream("i-1", "v1")))])));
+    assert_eq!(image.upstreams.version, Version::new(6));
+}
+
+#[test]
+fn a_slow_feed_does_not_undo_what_a_peer_told() {
+    // The store turns this VM away; a peer tells it that an upstream has left. Then a
+    // feed that hung since before delivers the upstream's last heartbeat. Taken in, the
+    // VM would send work to an upstream that is gone.
+    let mut image = Image::default();
+    image.apply(page(5, vec![change("i-1", 5, Some(upstream("i-1", "v1")))]));
+    let mut peer = image.clone();
+    peer.apply(page(9, vec![change("i-1", 9, None)]));
+    assert!(image.merge(peer));
+    assert!(!image.apply(page(7, vec![change("i-1", 7, Some(upstream("i-1", "v1")))])));
+    assert!(names(&image).is_empty());
+}
+
+#[test]
+fn an_older_configuration_never_comes_back() {
+    let read = |version, number| Page {
+        rows: Rows::Operators {
+            configuration: vec![change("config", version, Some(configuration(number)))],
+            orders: Vec::new(),
+        },
+        version: Version::new(version),
+        now_ms: 0,
+    };
+    let mut image = Image::default();
+    image.replace(read(9, 4));
+    assert!(!image.replace(read(8, 3)));
+    assert!(!image.apply(read(8, 3)));
+    assert_eq!(image.configuration.rows["config"].value.number, 4);
+}
+
+#[test]
+fn a_peer_gets_only_the_tables_that_it_lacks() {
+    let mut image = Image::default();
+    image.apply(page(5, vec![change("i-1", 5, Some(upstream("i-1", "v1")))]));
+    let mut versions = image.versions();
+    assert_eq!(image.newer_than(&versions), Image::default());
+    versions.upstreams = Version::new(4);
+    assert_eq!(names(&image.newer_than(&versions)), ["i-1"]);
+}
+
+/// A step of the store: whether upstream `key` is listed after it.
+fn history() -> impl Strategy<Value = Vec<(u8, bool)>> {
+    prop::collection::vec((0_u8..4, any::<bool>()), 1..30)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    // Pages of a feed come late, twice and between whole reads and peers' copies. However
+    // they come, the copy ends as the store is once the last page is in.
+    #[test]
+    fn any_order_of_news_ends_with_the_stores_state(history in history(), order in prop::collection::vec(any::<prop::sample::Index>(), 0..40)) {
+        let mut store = Image::default();
+        let mut states = vec![store.clone()];
+        let mut pages = Vec::new();
+        for (step, (key, listed)) in history.iter().enumerate() {
+            let version = step as u64 + 1;
+            let key = format!("i-{key}");
+            let value = listed.then(|| upstream(&key, "v1"));
+            let page = page(version, vec![change(&key, version, value)]);
+            store.apply(page.clone());
+            pages.push(page);
+            states.push(store.clone());
+        }
+        let mut copy = Image::default();
+        let mut seen = 0;
+        for pick in order {
+            // A feed goes on from where the copy is; a peer's copy may be of any time.
+            let at = pick.index(states.len());
+            if at % 2 == 0 {
+                copy.merge(states[at].clone());
+            } else if seen < pages.len() {
+                copy.apply(pages[seen].clone());
+                seen += 1;
+            }
+            let version = usize::try_from(copy.upstreams.version.get()).unwrap();
+            prop_assert_eq!(&copy.upstreams, &states[version].upstreams);
+        }
+    }
+}
--- a/crates/cloverpost-core/tests/behaviour/dispatch/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/dispatch/mod.rs
@@ -23,6 +23,7 @@
     Dispatch::new(Options {
         repeatable,
         max_attempts: 3,
+        max_runs: 3,
         deadline: Moment::from_millis(1_000),
     })
 }
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -1,13 +1,16 @@
 //! Behaviour of the decisions, module by module.
 
+mod balance;
 mod billing;
 mod budget;
 mod capacity;
 mod catalogue;
 mod choice;
 mod claim;
+mod directory;
 mod dispatch;
 mod evidence;
+mod exposure;
 mod id;
 mod lease;
 mod limit;
--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -1,13 +1,13 @@
 //! All messages.
 
-use cloverpost_core::{billing, evidence, membership, poison, rollout, spread};
+use cloverpost_core::{billing, directory, evidence, membership, poison, rollout, spread};
 
 use crate::hello;
 
 /// A message between two VMs; variants are grouped by job.
 ///
 /// New variants go to the end: a variant's position is its number on the wire.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub enum Message {
     /// Opens and authenticates a link.
@@ -24,4 +24,6 @@
     Evidence(evidence::Digest),
     /// Versions that were found bad.
     Halts(Vec<rollout::Halt>),
+    /// The store's tables.
+    Directory(directory::Message),
 }
--- a/crates/cloverpost/src/front/execute.rs
+++ b/crates/cloverpost/src/front/execute.rs
@@ -68,6 +68,7 @@
     let mut dispatch = Dispatch::new(Options {
         repeatable: job.repeatable(),
         max_attempts: state.settings.limits.max_attempts,
+        max_runs: state.settings.limits.max_attempts,
         deadline: job.deadline(),
     });
     let mut tried = Vec::new();
--- a/crates/cloverpost/src/front/headers.rs
+++ b/crates/cloverpost/src/front/headers.rs
@@ -27,6 +27,7 @@
 ///
 /// The caller's key stays here: an upstream that logs its headers would
 /// otherwise hold keys of every organisation.
+#[must_use]
 pub fn to_upstream(headers: &http::HeaderMap) -> http::HeaderMap {
     let dropped = |name: &HeaderName| {
         HOP_BY_HOP.contains(name)
@@ -42,7 +43,20 @@
     kept(headers, dropped)
 }
 
+/// Headers of an upstream, less those that concern one connection.
+#[must_use]
+pub fn passed_on(headers: &http::HeaderMap) -> http::HeaderMap {
+    kept(headers, concerns_connection)
+}
+
+/// Whether a header concerns one connection or how it carries a body.
+#[must_use]
+pub fn concerns_connection(name: &HeaderName) -> bool {
+    HOP_BY_HOP.contains(name) || *name == header::CONTENT_LENGTH || name.as_str() == "keep-alive"
+}
+
 /// Headers of an upstream that a caller gets.
+#[must_use]
 pub fn to_caller(headers: &http::HeaderMap) -> http::HeaderMap {
     let dropped = |name: &HeaderName| {
         HOP_BY_HOP.contains(name) || *name == header::CONTENT_LENGTH || is_own(name)
--- a/crates/cloverpost/src/front/mod.rs
+++ b/crates/cloverpost/src/front/mod.rs
@@ -14,7 +14,7 @@
 mod course;
 mod draw;
 mod execute;
-mod headers;
+pub mod headers;
 mod job;
 mod models;
 mod operator;
--- /dev/null
+++ b/crates/cloverpost/src/gateway/answer.rs
@@ -0,0 +1,60 @@
+//! Answers to callers.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cloverpost_core::refusal::{Code, Ran, Refusal};
+use http::{HeaderValue, Response, StatusCode, header};
+
+/// A whole answer.
+pub type Whole = Response<Bytes>;
+
+/// Shortest time after which a caller is asked to come back; places free up
+/// within about that time.
+const COME_BACK: f64 = 0.2;
+/// Longest such time. Callers that all come back at once would be refused again.
+const COME_BACK_MOST: f64 = 0.6;
+
+/// The refusal as it is sent.
+///
+/// Some statuses promise that the request has not run. Where that is not certain
+/// the caller gets another one, or it would send a booking again that stands.
+pub fn refuse(refusal: &Refusal) -> Whole {
+    let status = status(refusal);
+    let text = format!(
+        "{{\"error\":{{\"code\":\"{}\",\"message\":\"{}\",\"ran\":\"{}\"}}}}\n",
+        refusal.code.as_str(),
+        refusal.message,
+        refusal.ran,
+    );
+    let mut response = Response::new(Bytes::from(text));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    if refusal.ran == Ran::No && refusal.code.retry_after().is_some() {
+        let seconds = rand::random_range(COME_BACK..COME_BACK_MOST);
+        if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
+            headers.insert(header::RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+fn status(refusal: &Refusal) -> StatusCode {
+    let status = StatusCode::from_u16(refusal.code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let promises_not_run = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    match (promises_not_run, refusal.ran, refusal.code) {
+        (true, Ran::Unknown | Ran::Yes, _) => StatusCode::BAD_GATEWAY,
+        // Its time is over and nothing ran: it may come again.
+        (false, Ran::No, Code::TimedOut) => StatusCode::SERVICE_UNAVAILABLE,
+        _ => status,
+    }
+}
+
+/// Time for log lines, in whole milliseconds.
+pub fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -0,0 +1,244 @@
+//! One send of a job to an upstream.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverpost_core::balance::Event;
+use cloverpost_core::dispatch::Failure;
+use cloverpost_core::{directory, id, time};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::gateway::Shared;
+use crate::gateway::answer;
+use crate::gateway::codec::{Attempt, Codec, Verdict};
+use crate::gateway::evidence::Origin;
+use crate::gateway::job::Job;
+use crate::gateway::place::Place;
+use crate::gateway::pool::Connection;
+
+/// Time without a sign from an upstream, on any of this VM's requests, after
+/// which one that waits for a stream there goes elsewhere. Engines that read a
+/// prompt of 50,000 tokens have been seen silent for 1.3 s.
+pub const SILENCE: Duration = Duration::from_millis(2500);
+/// Multiple of the target latency for which a stream's first event is awaited,
+/// whatever the upstream does for others. Beyond it the answer is late anyway.
+const FIRST_EVENT: u32 = 2;
+
+/// An answer of an upstream that has begun.
+pub struct Begun<C: Codec> {
+    /// The request's place on the upstream.
+    pub place: Place<C>,
+    /// The connection that brings it.
+    pub connection: Connection,
+    /// Its head.
+    pub head: http::response::Parts,
+    /// Its body.
+    pub body: Incoming,
+    /// Whether the upstream ran the request and failed.
+    pub is_failure: bool,
+    /// The model's own opinion of the answer, 0 to 100.
+    pub confidence: Option<u8>,
+}
+
+/// What distinguishes this send from others of the job.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Terms<'a> {
+    /// Model that answers, if the router chooses it.
+    pub model: Option<&'a id::Model>,
+    /// Last event that the caller has.
+    pub last_event: Option<&'a str>,
+    /// Whether another send may follow if this one takes too long.
+    pub has_another: bool,
+}
+
+/// Sends `job` to `upstream` and waits for the head of the answer.
+pub async fn send<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    upstream: &Arc<directory::Upstream>,
+    terms: Terms<'_>,
+) -> Result<Begun<C>, Failure> {
+    let place = Place::take(shared.clone(), upstream.clone());
+    let sent = shared.clock.now();
+    let result = exchange(shared, job, place, terms).await;
+    note(shared, job, upstream, terms, sent, &result);
+    result
+}
+
+async fn exchange<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    place: Place<C>,
+    terms: Terms<'_>,
+) -> Result<Begun<C>, Failure> {
+    let once = !job.route.kind.is_repeatable();
+    let mut connection = match shared.pool.take(&place.upstream.id, once) {
+        Some(connection) => connection,
+        None => open(shared, &place).await?,
+    };
+    let sent = shared.clock.now();
+    if sent >= job.ends {
+        return Err(Failure::NotSent);
+    }
+    let request = request(shared, job, &place.upstream, terms);
+    let answer = connection.sender.try_send_request(request);
+    let answer = tokio::select! {
+        answer = answer => answer,
+        failure = patience(shared, job, &place, sent, terms.has_another) => return Err(failure),
+    };
+    let answer = answer.map_err(|error| {
+        if error.message().is_some() {
+            // It closed before the first byte was written.
+            return Failure::NotSent;
+        }
+        place.note(Event::Broke);
+        Failure::Lost
+    })?;
+    let (head, body) = answer.into_parts();
+    connection.note(&head);
+    let verdict = shared.codec.verdict(&job.asked.id, &head);
+    let (is_failure, confidence) = match verdict {
+        Verdict::Full => {
+            place.note(Event::Full);
+            return Err(Failure::NotStarted);
+        }
+        Verdict::Replaced => {
+            place.note(Event::Refused);
+            return Err(Failure::NotStarted);
+        }
+        Verdict::Foreign => {
+            place.note(Event::Failed);
+            return Err(Failure::Mismatched);
+        }
+        Verdict::Failed => (true, None),
+        Verdict::Succeeded { confidence } => (false, confidence),
+    };
+    place.note(Event::Began(shared.clock.now().since(sent)));
+    Ok(Begun {
+        place,
+        connection,
+        head,
+        body,
+        is_failure,
+        confidence,
+    })
+}
+
+async fn open<C: Codec>(shared: &Shared<C>, place: &Place<C>) -> Result<Connection, Failure> {
+    shared.metrics.connections.inc();
+    let opened = shared.pool.open(&place.upstream).await;
+    opened.ok_or_else(|| {
+        place.note(Event::Refused);
+        Failure::NotSent
+    })
+}
+
+/// Waits until it makes no sense to wait longer for the head of an answer.
+async fn patience<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    place: &Place<C>,
+    sent: time::Moment,
+    has_another: bool,
+) -> Failure {
+    let kind = job.route.kind;
+    let (silence_limit, limit) = if !kind.is_repeatable() || !has_another {
+        (Duration::MAX, Duration::MAX)
+    } else if kind.is_stream() {
+        (SILENCE, job.route.target_latency * FIRST_EVENT)
+    } else {
+        // Half for this attempt, half for another one.
+        let half = job.ends.since(job.started) / 2;
+        (half, half)
+    };
+    loop {
+        let now = shared.clock.now();
+        let left = job.ends.since(now);
+        if left.is_zero() {
+            return Failure::TimedOut;
+        }
+        let silence = shared.balance().silence(&place.upstream.id, sent, now);
+        if silence >= silence_limit {
+            place.note(Event::Silent);
+            return Failure::TimedOut;
+        }
+        let waited = now.since(sent);
+        if waited >= limit {
+            place.note(Event::Failed);
+            return Failure::TimedOut;
+        }
+        let rest = silence_limit.saturating_sub(silence);
+        tokio::time::sleep(left.min(rest).min(limit.saturating_sub(waited))).await;
+    }
+}
+
+fn request<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    terms: Terms<'_>,
+) -> http::Request<Full<bytes::Bytes>> {
+    let mut request = http::Request::new(Full::new(job.body.clone()));
+    *request.method_mut() = job.method.clone();
+    *request.uri_mut() = job.uri.clone();
+    *request.headers_mut() = job.headers.clone();
+    let attempt = Attempt {
+        upstream: &upstream.id,
+        organisation: job.organisation(),
+        left: job.ends.since(shared.clock.now()),
+        model: terms.model,
+        priority: job.priority(),
+        last_event: terms.last_event,
+    };
+    shared.codec.mark(&attempt, request.headers_mut());
+    request
+}
+
+/// Notes for metrics, logs and roll-outs how an attempt went.
+fn note<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    terms: Terms<'_>,
+    sent: time::Moment,
+    result: &Result<Begun<C>, Failure>,
+) {
+    let took = shared.clock.now().since(sent);
+    let origin = Origin {
+        service: &job.service,
+        version: &upstream.version,
+        route: &job.route.name,
+        model: terms.model,
+    };
+    let name = match result {
+        Ok(begun) if begun.is_failure => "failed",
+        Ok(_) => "answered",
+        Err(failure) => failure.as_str(),
+    };
+    let mut evidence = shared.evidence();
+    match result {
+        Ok(begun) => {
+            let is_slow = evidence.time(&origin, took);
+            evidence.count(&origin, !begun.is_failure && !is_slow);
+        }
+        Err(Failure::Lost | Failure::Mismatched | Failure::TimedOut) => {
+            evidence.count(&origin, false);
+        }
+        Err(_) => {}
+    }
+    drop(evidence);
+    shared
+        .metrics
+        .attempts
+        .with_label_values(&[job.service.as_str(), name])
+        .inc();
+    if name != "answered" {
+        log::info!(
+            id = job.asked.id.as_str(), upstream = upstream.id.as_str(), version = upstream.version.as_str(),
+            model = terms.model.map_or("", id::Model::as_str), result = name,
+            took_ms = answer::millis(took);
+            "attempt did not succeed"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -0,0 +1,129 @@
+//! Counters and latency histograms of the gateway.
+
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Upper bounds of latency buckets, in seconds.
+const SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
+];
+
+/// Every metric of a gateway.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests with their final answer, by route and outcome.
+    pub answered: IntCounterVec,
+    /// Sends to upstreams, by service and result.
+    pub attempts: IntCounterVec,
+    /// Answers of a model that were dropped for a larger one's, by route.
+    pub escalated: IntCounterVec,
+    /// Streams that went on at another upstream, by route.
+    pub resumed: IntCounterVec,
+    /// Connections opened to upstreams.
+    pub connections: IntCounter,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Seconds to the start of the answer, by route.
+    pub first_byte: HistogramVec,
+    /// Calls to the store, by topic and result.
+    pub store_calls: IntCounterVec,
+    /// Seconds of calls to the store that were answered.
+    pub store_seconds: Histogram,
+    /// Number of the configuration in force.
+    pub configuration: IntGauge,
+    /// Upstreams that take work.
+    pub upstreams: IntGauge,
+    /// Images taken over from peers.
+    pub told_by_peers: IntCounter,
+    /// Whether the VM says that it takes new connections.
+    pub ready: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics in a registry of their own.
+    ///
+    /// # Panics
+    ///
+    /// Never: the names below are valid and differ.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new_custom(Some("cloverpost".to_owned()), None)
+            .expect("the prefix is a valid name");
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            add(&registry, IntCounterVec::new(Opts::new(name, help), labels))
+        };
+        let counter = |name: &str, help: &str| add(&registry, IntCounter::new(name, help));
+        let gauge = |name: &str, help: &str| add(&registry, IntGauge::new(name, help));
+        let buckets =
+            |name: &str, help: &str| HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+        Self {
+            answered: counters(
+                "requests_total",
+                "requests with their final answer",
+                &["route", "outcome"],
+            ),
+            attempts: counters(
+                "attempts_total",
+                "sends to upstreams",
+                &["service", "result"],
+            ),
+            escalated: counters(
+                "escalated_total",
+                "answers dropped for a larger model's",
+                &["route"],
+            ),
+            resumed: counters(
+                "resumed_total",
+                "streams that went on at another upstream",
+                &["route"],
+            ),
+            connections: counter(
+                "upstream_connections_total",
+                "connections opened to upstreams",
+            ),
+            in_flight: gauge("in_flight", "requests in flight"),
+            first_byte: add(
+                &registry,
+                HistogramVec::new(
+                    buckets("first_byte_seconds", "seconds to the start of the answer"),
+                    &["route"],
+                ),
+            ),
+            store_calls: counters(
+                "store_calls_total",
+                "calls to the store",
+                &["topic", "result"],
+            ),
+            store_seconds: add(
+                &registry,
+                Histogram::with_opts(buckets("store_seconds", "seconds of calls to the store")),
+            ),
+            configuration: gauge("configuration", "number of the configuration in force"),
+            upstreams: gauge("upstreams", "upstreams that take work"),
+            told_by_peers: counter("told_by_peers_total", "tables taken over from peers"),
+            ready: gauge("ready", "1 while the VM takes new connections"),
+            registry,
+        }
+    }
+
+    /// Every metric in the Prometheus text format.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        crate::metrics::text(&self.registry)
+    }
+}
+
+fn add<T: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    made: prometheus::Result<T>,
+) -> T {
+    crate::metrics::register(registry, made)
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -0,0 +1,117 @@
+//! Which upstream gets the next attempt of a job.
+
+use std::sync::Arc;
+
+use cloverpost_core::balance::Want;
+use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
+use cloverpost_core::{exposure, id};
+
+use crate::gateway::Shared;
+use crate::gateway::codec::Codec;
+use crate::gateway::job::Job;
+
+/// Versions that a job may run on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Side {
+    Any,
+    Only(id::Version),
+    Except(id::Version),
+}
+
+impl Side {
+    fn takes(&self, upstream: &Upstream) -> bool {
+        match self {
+            Self::Any => true,
+            Self::Only(version) => upstream.version == *version,
+            Self::Except(version) => upstream.version != *version,
+        }
+    }
+}
+
+/// The upstream for the next attempt of `job` with `model`.
+pub fn upstream<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    model: Option<&id::Model>,
+    tried: &[id::Upstream],
+) -> Option<Arc<Upstream>> {
+    let view = shared.view.load();
+    let pool = view.pools.get(&job.service)?;
+    let side = side(shared, job, pool);
+    let settings = shared.settings.load();
+    let want = Want {
+        zone: &settings.zone,
+        affinity: job.asked.affinity(model),
+        tried,
+    };
+    let now = shared.clock.now();
+    let usable = pool.upstreams.iter().filter(|one| side.takes(one));
+    let chosen = shared.balance().choose(usable, &want, now).cloned()?;
+    if let (Some(session), Allowed::Rollout(_)) = (job.asked.session, &pool.allowed) {
+        shared.sessions().note(session, &chosen.version, now);
+    }
+    Some(chosen)
+}
+
+/// Places that are taken and that there are on the upstreams of `service`.
+pub fn occupancy<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> (u32, u32) {
+    let view = shared.view.load();
+    let upstreams = view.pools.get(service).into_iter();
+    let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
+    shared.balance().occupancy(upstreams)
+}
+
+fn side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool) -> Side {
+    match &pool.allowed {
+        Allowed::Any => Side::Any,
+        Allowed::Only(version) => Side::Only(version.clone()),
+        Allowed::Except(version) => Side::Except(version.clone()),
+        Allowed::Rollout(rollout) => rollout_side(shared, job, pool, rollout),
+    }
+}
+
+/// The side of a roll-out: the one that the session is on, else by a hash that
+/// is the same on every VM.
+fn rollout_side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool, rollout: &Rollout) -> Side {
+    let old = Side::Except(rollout.target.clone());
+    let new = Side::Only(rollout.target.clone());
+    let is_worse = shared.evidence().is_worse(&job.service, &rollout.target);
+    let has = |side: &Side| pool.upstreams.iter().any(|one| side.takes(one));
+    if is_worse || !has(&new) {
+        return old;
+    }
+    let settings = shared.settings.load();
+    let stage = exposure::stage(rollout, shared.store_now_ms(), settings.exposure_share);
+    let goes_new = match stays(shared, job, rollout, settings.session_gap) {
+        Some(true) => true,
+        Some(false) if stage.is_pinned => false,
+        _ => point(job, rollout) < stage.share,
+    };
+    if goes_new || !has(&old) { new } else { old }
+}
+
+/// Whether the job's session ran on the new version before; `None` if unknown.
+fn stays<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    rollout: &Rollout,
+    gap: std::time::Duration,
+) -> Option<bool> {
+    let now = shared.clock.now();
+    let sessions = shared.sessions();
+    let version = sessions.version(job.asked.session?, now, gap)?;
+    Some(*version == rollout.target)
+}
+
+/// Where a job falls between 0 and 1, alike on every VM.
+fn point(job: &Job, rollout: &Rollout) -> f64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    match job.asked.session {
+        Some(session) => session.hash(&mut hasher),
+        None => job.asked.id.hash(&mut hasher),
+    }
+    rollout.started_ms.hash(&mut hasher);
+    let bits = u32::try_from(hasher.finish() >> 32).unwrap_or_default();
+    f64::from(bits) / f64::from(u32::MAX)
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/plain.rs
@@ -0,0 +1,138 @@
+//! Requests with one whole answer.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cloverpost_core::balance::Event;
+use cloverpost_core::dispatch::{Dispatch, Failure, Next, Options};
+use cloverpost_core::refusal::Refusal;
+use http::Response;
+use http_body_util::{BodyExt, Limited};
+
+use crate::gateway::Shared;
+use crate::gateway::answer::Whole;
+use crate::gateway::attempt::{self, Begun, Terms};
+use crate::gateway::codec::Codec;
+use crate::gateway::job::Job;
+use crate::gateway::pick;
+
+/// Sends beyond those that the route allows, for upstreams that prove that they
+/// did not run the request.
+pub const UNSTARTED: u32 = 3;
+
+/// Largest whole answer, in bytes.
+const MOST: usize = 8 * 1024 * 1024;
+
+/// What came of a job.
+pub enum Outcome {
+    /// An answer of an upstream, a failure of its own included.
+    Answered(Whole),
+    /// No upstream answered.
+    Refused(Refusal),
+}
+
+/// The attempts that `job` may take.
+pub fn dispatch(job: &Job) -> Dispatch {
+    Dispatch::new(Options {
+        repeatable: job.route.kind.is_repeatable(),
+        max_attempts: job.route.max_attempts + UNSTARTED,
+        max_runs: job.route.max_attempts,
+        deadline: job.ends,
+    })
+}
+
+/// Sees `job` through to its answer.
+pub async fn run<C: Codec>(shared: &Arc<Shared<C>>, job: &Job) -> Outcome {
+    let mut dispatch = dispatch(job);
+    let mut tried = Vec::new();
+    let mut failed = None;
+    shared
+        .budget()
+        .first(&budget_class(job), shared.clock.now());
+    loop {
+        let Some(upstream) = pick::upstream(shared, job, None, &tried) else {
+            return failed.map_or_else(
+                || Outcome::Refused(dispatch.no_upstream()),
+                Outcome::Answered,
+            );
+        };
+        tried.push(upstream.id.clone());
+        let terms = Terms {
+            has_another: dispatch.has_run_left(),
+            ..Terms::default()
+        };
+        let result = match attempt::send(shared, job, &upstream, terms).await {
+            Ok(begun) => whole(shared, job, begun).await,
+            Err(failure) => Err(failure),
+        };
+        let failure = match result {
+            Ok((answer, false)) => return Outcome::Answered(answer),
+            Ok((answer, true)) => {
+                failed = Some(answer);
+                Failure::Failed
+            }
+            Err(failure) => failure,
+        };
+        match next(shared, job, &mut dispatch, failure) {
+            Next::Retry => {}
+            Next::Refuse(refusal) => {
+                return failed.map_or(Outcome::Refused(refusal), Outcome::Answered);
+            }
+        }
+    }
+}
+
+/// What follows a failed attempt of `job`.
+pub fn next<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    dispatch: &mut Dispatch,
+    failure: Failure,
+) -> Next {
+    let now = shared.clock.now();
+    let within_budget = || shared.budget().retry(&budget_class(job), now);
+    dispatch.failed(failure, now, within_budget)
+}
+
+/// The class under which repeated sends of `job` are counted: its service.
+pub fn budget_class(job: &Job) -> cloverpost_core::id::Class {
+    let class = job.service.as_str().parse();
+    class.expect("names of pools and of classes take the same characters")
+}
+
+/// Reads an answer to its end; whether it is the upstream's failure.
+pub async fn whole<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    begun: Begun<C>,
+) -> Result<(Whole, bool), Failure> {
+    let Begun {
+        place,
+        connection,
+        head,
+        body,
+        is_failure,
+        ..
+    } = begun;
+    let left = job.ends.since(shared.clock.now());
+    let body = tokio::time::timeout(left, Limited::new(body, MOST).collect());
+    let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
+    let body = body.map_err(|_| {
+        place.note(Event::Failed);
+        Failure::Cut
+    })?;
+    shared.pool.keep(connection);
+    place.note(if is_failure {
+        Event::Failed
+    } else {
+        Event::Succeeded
+    });
+    Ok((answer(&head, body.to_bytes()), is_failure))
+}
+
+fn answer(head: &http::response::Parts, body: Bytes) -> Whole {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = crate::front::headers::passed_on(&head.headers);
+    answer
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/ready.rs
@@ -0,0 +1,64 @@
+//! Readiness and metrics.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::gateway::codec::Codec;
+use crate::gateway::{Shared, socket};
+
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+/// Longest time that a connection stays without a request.
+const IDLE: std::time::Duration = std::time::Duration::from_secs(30);
+
+/// Answers the balancer and monitoring on `listener` for as long as it is polled.
+pub async fn run<C: Codec>(listener: TcpListener, shared: Arc<Shared<C>>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _from)) => {
+                tokio::spawn(serve(shared.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(why:% = error; "no connection of the balancer accepted");
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve<C: Codec>(shared: Arc<Shared<C>>, stream: TcpStream) {
+    socket::set_up(&stream, socket::CALLERS);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let response = answer(&shared, request.uri().path());
+        async move { Ok::<_, Infallible>(response) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE)
+        .serve_connection(TokioIo::new(stream), service);
+    // Whoever asks may leave at any time.
+    let _ = connection.await;
+}
+
+fn answer<C: Codec>(shared: &Shared<C>, path: &str) -> Response<Full<Bytes>> {
+    if path == METRICS {
+        return Response::new(Full::new(Bytes::from(shared.metrics.text())));
+    }
+    let mut response = Response::new(Full::new(Bytes::new()));
+    let is_ready = shared.is_ready();
+    *response.status_mut() = match (shared.codec.is_readiness(path), is_ready) {
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+        (false, _) => StatusCode::NOT_FOUND,
+    };
+    response
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/reload.rs
@@ -0,0 +1,75 @@
+//! Settings that change while the VM runs.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::gateway::Shared;
+use crate::gateway::codec::Codec;
+use crate::gateway::settings::Settings;
+
+/// Time between looks at the file; it may change without a signal.
+const LOOK: Duration = Duration::from_secs(2);
+
+/// Takes over changes of the settings file for as long as it is polled.
+pub async fn run<C: Codec>(file: PathBuf, shared: Arc<Shared<C>>) {
+    let mut hang_up = signal(SignalKind::hangup()).ok();
+    let mut text = std::fs::read_to_string(&file).unwrap_or_default();
+    loop {
+        let signalled = tokio::select! {
+            () = tokio::time::sleep(LOOK) => false,
+            () = hung_up(&mut hang_up) => true,
+        };
+        match std::fs::read_to_string(&file) {
+            Ok(now) if now != text => {
+                take_over(&file, &now, &shared);
+                text = now;
+            }
+            Ok(_) if signalled => {
+                log::info!(file:% = file.display(); "asked to reload, settings unchanged");
+            }
+            Ok(_) => {}
+            Err(error) => {
+                log::warn!(file:% = file.display(), why:% = error; "settings cannot be read, the old ones stay");
+            }
+        }
+    }
+}
+
+async fn hung_up(signal: &mut Option<tokio::signal::unix::Signal>) {
+    match signal {
+        Some(signal) => {
+            signal.recv().await;
+        }
+        None => std::future::pending().await,
+    }
+}
+
+fn take_over<C: Codec>(file: &Path, text: &str, shared: &Shared<C>) {
+    let old = shared.settings.load_full();
+    match text.parse::<Settings>() {
+        Ok(new) => {
+            if addresses(&old) != addresses(&new) {
+                log::warn!(file:% = file.display(); "changed addresses and names need a restart");
+            }
+            log::info!(before:? = old, now:? = new; "settings reloaded");
+            shared.settings.store(Arc::new(new));
+        }
+        Err(faults) => {
+            log::error!(file:% = file.display(), faults:% = faults; "wrong settings, the old ones stay");
+        }
+    }
+}
+
+/// What is bound or told at the start only.
+fn addresses(settings: &Settings) -> impl PartialEq + use<> {
+    (
+        settings.vm.clone(),
+        settings.caller_addr,
+        settings.operator_addr,
+        settings.peer_addr,
+        settings.store_addr,
+    )
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -0,0 +1,273 @@
+//! Admits a request and hands it on.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cloverpost_core::refusal::{Code, Refusal};
+use cloverpost_core::{directory, time};
+use futures_util::Stream;
+use http::{HeaderValue, Request, Response, header};
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
+use hyper::body::{Frame, Incoming};
+
+use crate::gateway::answer::{self, Whole};
+use crate::gateway::codec::{Asked, Codec};
+use crate::gateway::job::Job;
+use crate::gateway::plain::{self, Outcome};
+use crate::gateway::shared::Phase;
+use crate::gateway::stream::{self, Broken, Relay, Start};
+use crate::gateway::{Shared, pick};
+
+/// Body of an answer: whole, or a stream of events.
+type Answer<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
+
+/// Answers one request of a caller.
+pub async fn answer<C: Codec>(
+    shared: Arc<Shared<C>>,
+    request: Request<Incoming>,
+) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send + 'static + use<C>> {
+    let started = shared.clock.now();
+    let leaves = *shared.phase.borrow() >= Phase::Leaving;
+    let mut response = match admit(&shared, request, started).await {
+        Err((asked, refusal)) => {
+            let whole = answer::refuse(&refusal);
+            let status = whole.status().as_u16();
+            note(
+                &shared,
+                asked.as_ref(),
+                "",
+                refusal.code.as_str(),
+                status,
+                started,
+            );
+            whole.map(|body| Either::Left(Full::new(body)))
+        }
+        Ok(job) if job.route.kind.is_stream() => streamed(&shared, job).await,
+        Ok(job) => {
+            let whole = whole(&shared, job).await;
+            whole.map(|body| Either::Left(Full::new(body)))
+        }
+    };
+    if leaves {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
+
+type Refused = (Option<Asked>, Refusal);
+
+async fn admit<C: Codec>(
+    shared: &Shared<C>,
+    request: Request<Incoming>,
+    started: time::Moment,
+) -> Result<Job, Refused> {
+    let (head, body) = request.into_parts();
+    let view = shared.view.load_full();
+    let Some(index) = view.index.clone() else {
+        let refusal = Refusal::not_run(Code::Unconfirmed, "no configuration is known yet");
+        return Err((None, refusal));
+    };
+    let asked = shared
+        .codec
+        .asked(&head)
+        .map_err(|malformed| (None, Refusal::not_run(Code::MalformedHeader, malformed.0)))?;
+    let refuse = |code, message: &str| Refusal::not_run(code, message);
+    let host = head
+        .headers
+        .get(header::HOST)
+        .and_then(|host| host.to_str().ok());
+    let host = host.or(head.uri.host()).unwrap_or_default();
+    let Ok(route) = index.route(host, head.uri.path()).cloned() else {
+        return Err((
+            Some(asked),
+            refuse(Code::UnknownPath, "no route takes this host and path"),
+        ));
+    };
+    let Ok(sender) = index.sender(&route, asked.key.as_deref()) else {
+        return Err((
+            Some(asked),
+            refuse(Code::UnknownKey, "the key is not known"),
+        ));
+    };
+    let Some(destination) = route.destination(rand::random()) else {
+        return Err((
+            Some(asked),
+            refuse(Code::NoUpstream, "the route leads nowhere"),
+        ));
+    };
+    let body = match receive(body, index.limits()).await {
+        Ok(body) => body,
+        Err((code, message)) => return Err((Some(asked), refuse(code, message))),
+    };
+    let patience = asked.patience.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Job {
+        service: destination.service.clone(),
+        headers: shared.codec.forwarded(&head.headers),
+        sender: sender.cloned(),
+        method: head.method,
+        uri: head.uri,
+        body,
+        started,
+        ends: started + patience,
+        asked,
+        route,
+    })
+}
+
+async fn receive(
+    body: Incoming,
+    limits: &directory::Limits,
+) -> Result<Bytes, (Code, &'static str)> {
+    // Bodies of megabytes need longer than a header block.
+    let limit = limits.receive_timeout * 4;
+    let body = Limited::new(body, limits.body_bytes).collect();
+    match tokio::time::timeout(limit, body).await {
+        Err(_elapsed) => Err((Code::SlowClient, "the body took too long")),
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            Err((Code::BodyTooLarge, "the body is over the limit"))
+        }
+        Ok(Err(_)) => Err((Code::MalformedBody, "the body broke off")),
+    }
+}
+
+async fn streamed<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: Job,
+) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send + 'static + use<C>> {
+    let kept = job.clone();
+    shared.metrics.in_flight.inc();
+    let whole = match stream::start(shared, job).await {
+        Start::Begun(relay) => {
+            let now = shared.clock.now();
+            let seconds = now.since(kept.started).as_secs_f64();
+            shared
+                .metrics
+                .first_byte
+                .with_label_values(&[kept.route.name.as_str()])
+                .observe(seconds);
+            let mut response = Response::new(());
+            *response.status_mut() = relay.head.status;
+            *response.headers_mut() = crate::front::headers::passed_on(&relay.head.headers);
+            return response.map(|()| Either::Right(StreamBody::new(Relay::frames(*relay))));
+        }
+        Start::Failed(whole) => {
+            note_job(shared, &kept, "failed", &whole);
+            whole
+        }
+        Start::Refused(refusal) => {
+            let whole = answer::refuse(&refusal);
+            note_refusal(shared, &kept, &refusal, &whole);
+            whole
+        }
+    };
+    shared.metrics.in_flight.dec();
+    whole.map(|body| Either::Left(Full::new(body)))
+}
+
+/// Sees a request through whose answer is whole.
+///
+/// One that may run once only goes on when the caller leaves: cut off midway, its
+/// end would be unknown to everybody.
+async fn whole<C: Codec>(shared: &Arc<Shared<C>>, job: Job) -> Whole {
+    if job.route.kind.is_repeatable() {
+        return tracked(shared.clone(), job).await;
+    }
+    let task = tokio::spawn(tracked(shared.clone(), job));
+    task.await.unwrap_or_else(|error| {
+        log::error!(why:% = error; "a request failed inside the router");
+        answer::refuse(&Refusal::uncertain(
+            Code::Internal,
+            "the request failed inside the router",
+        ))
+    })
+}
+
+async fn tracked<C: Codec>(shared: Arc<Shared<C>>, job: Job) -> Whole {
+    let _in_flight = InFlight::new(&shared);
+    match plain::run(&shared, &job).await {
+        Outcome::Answered(whole) => {
+            let seconds = shared.clock.now().since(job.started).as_secs_f64();
+            shared
+                .metrics
+                .first_byte
+                .with_label_values(&[job.route.name.as_str()])
+                .observe(seconds);
+            let outcome = if whole.status().is_success() {
+                "answered"
+            } else {
+                "failed"
+            };
+            note_job(&shared, &job, outcome, &whole);
+            whole
+        }
+        Outcome::Refused(refusal) => {
+            let whole = answer::refuse(&refusal);
+            note_refusal(&shared, &job, &refusal, &whole);
+            whole
+        }
+    }
+}
+
+/// Counts a request in flight; dropped when its caller leaves.
+struct InFlight(prometheus::IntGauge);
+
+impl InFlight {
+    fn new<C: Codec>(shared: &Shared<C>) -> Self {
+        let gauge = shared.metrics.in_flight.clone();
+        gauge.inc();
+        Self(gauge)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+fn note_refusal<C: Codec>(shared: &Shared<C>, job: &Job, refusal: &Refusal, whole: &Whole) {
+    let (taken, places) = pick::occupancy(shared, &job.service);
+    log::info!(
+        id = job.asked.id.as_str(), code = refusal.code.as_str(), ran:% = refusal.ran,
+        why = refusal.message.as_str(), service = job.service.as_str(), taken, places;
+        "no upstream answered"
+    );
+    note_job(shared, job, refusal.code.as_str(), whole);
+}
+
+fn note_job<C: Codec>(shared: &Shared<C>, job: &Job, outcome: &str, whole: &Whole) {
+    let status = whole.status().as_u16();
+    note(
+        shared,
+        Some(&job.asked),
+        job.route.name.as_str(),
+        outcome,
+        status,
+        job.started,
+    );
+}
+
+fn note<C: Codec>(
+    shared: &Shared<C>,
+    asked: Option<&Asked>,
+    route: &str,
+    outcome: &str,
+    status: u16,
+    started: time::Moment,
+) {
+    shared
+        .metrics
+        .answered
+        .with_label_values(&[route, outcome])
+        .inc();
+    let took = shared.clock.now().since(started);
+    let view = shared.view.load();
+    log::info!(
+        id = asked.map_or("", |asked| asked.id.as_str()), route, outcome, status,
+        configuration = view.index.as_ref().map_or(0, |index| index.number()),
+        took_ms = answer::millis(took);
+        "request ended"
+    );
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -0,0 +1,104 @@
+//! Takes connections of callers.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::{Body, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::gateway::codec::Codec;
+use crate::gateway::shared::Phase;
+use crate::gateway::{Shared, route, socket};
+
+/// Wait after a failed accept, for instance when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Smallest buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8192;
+
+/// Binds `address`. A process that is restarted takes the port of the one before.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves callers on `listener` until the VM closes and every connection has
+/// ended.
+pub async fn run<C: Codec>(listener: TcpListener, shared: Arc<Shared<C>>) {
+    let mut phase = shared.phase.subscribe();
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = closing(&mut phase) => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _from)) => {
+                    connections.spawn(serve(shared.clone(), stream));
+                }
+                Err(error) => {
+                    log::warn!(why:% = error; "no connection accepted");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+async fn serve<C: Codec>(shared: Arc<Shared<C>>, stream: TcpStream) {
+    socket::set_up(&stream, socket::CALLERS);
+    let limits = shared
+        .view
+        .load()
+        .index
+        .as_ref()
+        .map(|index| *index.limits());
+    let limits = limits.unwrap_or_default();
+    let mut phase = shared.phase.subscribe();
+    let handler = shared.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let answer = route::answer(handler.clone(), request);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The library counts the time without a request as well: a caller may use
+        // its connection again until the idle limit.
+        .header_read_timeout(limits.idle_timeout.max(limits.receive_timeout))
+        .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+        .serve_connection(TokioIo::new(stream), service);
+    drive(connection, &mut phase).await;
+}
+
+/// Waits until the VM closes.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // The sender lives as long as the state that every task shares.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
+
+async fn drive<S, B>(
+    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    phase: &mut watch::Receiver<Phase>,
+) where
+    S: hyper::service::Service<Request<Incoming>, Response = http::Response<B>, Error = Infallible>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut connection = pin!(connection);
+    tokio::select! {
+        // A connection that breaks is the caller's affair.
+        _ = connection.as_mut() => return,
+        () = closing(phase) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -0,0 +1,224 @@
+//! Settings of an entry VM in front of a store.
+//!
+//! They stand in a TOML file, flat, with the names below. All faults of a file
+//! are told in one answer.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use cloverpost_core::id;
+
+/// Checked settings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Name of this VM.
+    pub vm: id::Vm,
+    /// Availability zone that it stands in.
+    pub zone: id::AvailabilityZone,
+    /// Where callers connect.
+    pub caller_addr: SocketAddr,
+    /// Where readiness and metrics are served.
+    pub operator_addr: SocketAddr,
+    /// Where other VMs connect.
+    pub peer_addr: SocketAddr,
+    /// Where the store listens.
+    pub store_addr: SocketAddr,
+    /// Time from the request to stop until the process is killed.
+    pub stop_grace: Duration,
+    /// Time within which requests of a session follow each other.
+    pub session_gap: Duration,
+    /// Repeated sends for each request to a service, over all VMs.
+    pub retry_share: f64,
+    /// Repeated sends that all VMs may make on top.
+    pub retry_slack: u32,
+    /// Share of a service's requests that a version may get before it is trusted.
+    pub exposure_share: f64,
+    /// Descriptors that the process may open.
+    pub max_descriptors: u32,
+}
+
+/// A fault of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The file is no TOML.
+    Syntax(String),
+    /// A name stands there that no setting has.
+    Unknown(String),
+    /// A setting is not given.
+    Missing(&'static str, &'static str),
+    /// A setting has a value that is not accepted: name, value, accepted form.
+    Wrong(&'static str, String, &'static str),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Syntax(reason) => write!(f, "not TOML: {reason}"),
+            Self::Unknown(name) => write!(f, "{name}: no setting has this name"),
+            Self::Missing(name, form) => write!(f, "{name} is required: want {form}"),
+            Self::Wrong(name, value, form) => {
+                write!(f, "{name}: `{value}` is wrong: want {form}")
+            }
+        }
+    }
+}
+
+/// All faults of a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<_> = self.0.iter().map(Fault::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Faults {}
+
+/// Accepted form of an address.
+const ADDRESS: &str = "IP:PORT, such as 10.0.0.1:8080";
+/// Accepted form of a name.
+const NAME: &str = "1 to 64 characters of a-z A-Z 0-9 . _ -";
+/// Accepted form of a time.
+const SECONDS: &str = "seconds, 0 or more";
+/// Accepted form of a share.
+const SHARE: &str = "a number from 0 to 1";
+/// Accepted form of a count.
+const COUNT: &str = "a whole number";
+
+/// Every name that a settings file may hold.
+const NAMES: [&str; 12] = [
+    "vm",
+    "zone",
+    "caller-addr",
+    "operator-addr",
+    "peer-addr",
+    "store-addr",
+    "stop-grace-s",
+    "session-gap-s",
+    "retry-share",
+    "retry-slack",
+    "exposure-share",
+    "max-descriptors",
+];
+
+impl FromStr for Settings {
+    type Err = Faults;
+
+    fn from_str(text: &str) -> Result<Self, Faults> {
+        let table = text
+            .parse::<toml::Table>()
+            .map_err(|error| Faults(vec![Fault::Syntax(error.message().to_owned())]))?;
+        let mut reader = Reader::new(&table);
+        let settings = reader.read();
+        match settings {
+            Some(settings) if reader.faults.is_empty() => Ok(settings),
+            _ => Err(Faults(reader.faults)),
+        }
+    }
+}
+
+/// Reads settings and collects what is wrong with them.
+struct Reader<'a> {
+    table: &'a toml::Table,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Reader<'a> {
+    fn new(table: &'a toml::Table) -> Self {
+        let unknown = table.keys().filter(|name| !NAMES.contains(&name.as_str()));
+        let faults = unknown.map(|name| Fault::Unknown(name.clone())).collect();
+        Self { table, faults }
+    }
+
+    fn read(&mut self) -> Option<Settings> {
+        let vm = self.text("vm", NAME);
+        let zone = self.text("zone", NAME);
+        let caller_addr = self.text("caller-addr", ADDRESS);
+        let operator_addr = self.text("operator-addr", ADDRESS);
+        let peer_addr = self.text("peer-addr", ADDRESS);
+        let store_addr = self.text("store-addr", ADDRESS);
+        let stop_grace = self.seconds("stop-grace-s", 8.0);
+        let session_gap = self.seconds("session-gap-s", 5.0);
+        let retry_share = self.number("retry-share", 0.2, 10.0, "a number from 0 to 10");
+        let retry_slack = self.count("retry-slack", 10);
+        let exposure_share = self.number("exposure-share", 0.1, 1.0, SHARE);
+        let max_descriptors = self.count("max-descriptors", 1024);
+        Some(Settings {
+            vm: vm?,
+            zone: zone?,
+            caller_addr: caller_addr?,
+            operator_addr: operator_addr?,
+            peer_addr: peer_addr?,
+            store_addr: store_addr?,
+            stop_grace: stop_grace?,
+            session_gap: session_gap?,
+            retry_share: retry_share?,
+            retry_slack: retry_slack?,
+            exposure_share: exposure_share?,
+            max_descriptors: max_descriptors?,
+        })
+    }
+
+    fn text<T: FromStr>(&mut self, name: &'static str, form: &'static str) -> Option<T> {
+        let Some(value) = self.table.get(name) else {
+            self.faults.push(Fault::Missing(name, form));
+            return None;
+        };
+        let parsed = value.as_str().and_then(|text| text.parse().ok());
+        self.or_wrong(parsed, name, value, form)
+    }
+
+    fn number(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        most: f64,
+        form: &'static str,
+    ) -> Option<f64> {
+        let Some(value) = self.table.get(name) else {
+            return Some(default);
+        };
+        #[allow(clippy::cast_precision_loss)] // settings are small
+        let whole = value.as_integer().map(|number| number as f64);
+        let number = value.as_float().or(whole);
+        let number = number.filter(|number| (0.0..=most).contains(number));
+        self.or_wrong(number, name, value, form)
+    }
+
+    fn seconds(&mut self, name: &'static str, default: f64) -> Option<Duration> {
+        /// A day; no time limit of a VM is longer.
+        const MOST: f64 = 86_400.0;
+        self.number(name, default, MOST, SECONDS)
+            .map(Duration::from_secs_f64)
+    }
+
+    fn count(&mut self, name: &'static str, default: u32) -> Option<u32> {
+        let Some(value) = self.table.get(name) else {
+            return Some(default);
+        };
+        let count = value
+            .as_integer()
+            .and_then(|count| u32::try_from(count).ok());
+        self.or_wrong(count, name, value, COUNT)
+    }
+
+    fn or_wrong<T>(
+        &mut self,
+        parsed: Option<T>,
+        name: &'static str,
+        value: &toml::Value,
+        form: &'static str,
+    ) -> Option<T> {
+        if parsed.is_none() {
+            let value = value
+                .as_str()
+                .map_or_else(|| value.to_string(), str::to_owned);
+            self.faults.push(Fault::Wrong(name, value, form));
+        }
+        parsed
+    }
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -0,0 +1,144 @@
+//! What the parts of a gateway share.
+
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use arc_swap::ArcSwap;
+use cloverpost_core::{balance, budget, directory, exposure, time};
+use tokio::sync::watch;
+
+use crate::clock::Clock;
+use crate::gateway::codec::Codec;
+use crate::gateway::evidence::Evidence;
+use crate::gateway::metrics::Metrics;
+use crate::gateway::pool::Pool;
+use crate::gateway::settings::Settings;
+
+/// Part of the fleet's retry budget that is handed out. The rest covers requests
+/// that are counted elsewhere in another second than here.
+const BUDGET_PART: f64 = 0.9;
+
+/// How far a planned stop is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Takes requests.
+    #[default]
+    Serving,
+    /// Serves on, but asks callers and the balancer to go elsewhere.
+    Leaving,
+    /// Closes connections as soon as they are unused.
+    Closing,
+}
+
+/// State that traffic and control share.
+pub struct Shared<C: Codec> {
+    /// Settings as they were read last.
+    pub settings: ArcSwap<Settings>,
+    /// What callers and upstreams speak.
+    pub codec: C,
+    /// The monotonic clock.
+    pub clock: Clock,
+    /// What is believed of the surroundings.
+    pub view: ArcSwap<directory::View>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// Counters.
+    pub metrics: Metrics,
+    /// How far a planned stop is.
+    pub phase: watch::Sender<Phase>,
+    balance: Mutex<balance::Balance>,
+    sessions: Mutex<exposure::Sessions>,
+    budget: Mutex<budget::Budget>,
+    evidence: Mutex<Evidence>,
+    /// The store's clock less this VM's, in milliseconds.
+    store_offset: AtomicI64,
+}
+
+impl<C: Codec> Shared<C> {
+    /// State of a VM that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, codec: C) -> Arc<Self> {
+        let clock = Clock::start();
+        let budget = budget::Budget::new(budget_options(&settings, 1));
+        Arc::new(Self {
+            settings: ArcSwap::from_pointee(settings),
+            codec,
+            clock,
+            view: ArcSwap::default(),
+            pool: Pool::new(clock),
+            metrics: Metrics::new(),
+            phase: watch::Sender::new(Phase::Serving),
+            balance: Mutex::default(),
+            sessions: Mutex::default(),
+            budget: Mutex::new(budget),
+            evidence: Mutex::default(),
+            store_offset: AtomicI64::new(0),
+        })
+    }
+
+    /// What this VM knows of upstreams by its own requests.
+    pub fn balance(&self) -> MutexGuard<'_, balance::Balance> {
+        lock(&self.balance)
+    }
+
+    /// Versions of the sessions that were served lately.
+    pub fn sessions(&self) -> MutexGuard<'_, exposure::Sessions> {
+        lock(&self.sessions)
+    }
+
+    /// What may be sent again.
+    pub fn budget(&self) -> MutexGuard<'_, budget::Budget> {
+        lock(&self.budget)
+    }
+
+    /// How the versions of services answer.
+    pub fn evidence(&self) -> MutexGuard<'_, Evidence> {
+        lock(&self.evidence)
+    }
+
+    /// Splits the fleet's retry budget among `vms`.
+    pub fn split_budget(&self, vms: u32) {
+        let options = budget_options(&self.settings.load(), vms);
+        self.budget().set_options(options);
+    }
+
+    /// The store's clock, in milliseconds, as far as this VM knows it.
+    pub fn store_now_ms(&self) -> u64 {
+        let offset = self.store_offset.load(Ordering::Relaxed);
+        millis(self.clock.now()).saturating_add_signed(offset)
+    }
+
+    /// Takes in a reading of the store's clock.
+    pub fn set_store_now_ms(&self, now_ms: u64) {
+        let own = i64::try_from(millis(self.clock.now())).unwrap_or(i64::MAX);
+        let theirs = i64::try_from(now_ms).unwrap_or(i64::MAX);
+        self.store_offset.store(theirs - own, Ordering::Relaxed);
+    }
+
+    /// Whether this VM should get new connections.
+    pub fn is_ready(&self) -> bool {
+        *self.phase.borrow() == Phase::Serving && self.view.load().index.is_some()
+    }
+}
+
+fn budget_options(settings: &Settings, vms: u32) -> budget::Options {
+    let percent = (settings.retry_share * BUDGET_PART * 100.0).clamp(0.0, 100.0);
+    let slack = f64::from(settings.retry_slack) * BUDGET_PART / f64::from(vms.max(1));
+    // Both were clamped to the range of their types.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let (percent, burst) = (percent as u8, slack.max(1.0) as u32);
+    budget::Options {
+        share: budget::Share::from_percent(percent),
+        floor: 0,
+        burst,
+    }
+}
+
+fn millis(now: time::Moment) -> u64 {
+    u64::try_from(now.since_start().as_millis()).unwrap_or(u64::MAX)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // No lock is held across an await or a call that may panic midway.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/stream.rs
@@ -0,0 +1,354 @@
+//! Requests whose answer is a stream of events.
+//!
+//! The smallest model that may answer is asked first. Its opinion of its own
+//! answer stands in the head, before the caller has got anything, so a poor answer
+//! is dropped there and the largest model asked instead. Later a stream that
+//! breaks off goes on at another upstream after its last whole event, if its
+//! route allows it.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use cloverpost_core::balance::Event;
+use cloverpost_core::dispatch::{Dispatch, Failure, Next};
+use cloverpost_core::refusal::Refusal;
+use cloverpost_core::{directory, id, time};
+use futures_util::{Stream, stream};
+use http_body_util::BodyExt;
+use hyper::body::{Frame, Incoming};
+
+use crate::gateway::Shared;
+use crate::gateway::answer::{self, Whole};
+use crate::gateway::attempt::{self, Begun, Terms};
+use crate::gateway::codec::Codec;
+use crate::gateway::events::Splitter;
+use crate::gateway::job::Job;
+use crate::gateway::pick;
+use crate::gateway::place::Place;
+use crate::gateway::plain;
+use crate::gateway::pool::Connection;
+
+/// Opinion of its own answer, 0 to 100, below which a small model's answer is
+/// dropped for a larger one's. In trials on a quiet day 60 earned 0.804, 50 0.796,
+/// always the smallest 0.549, always the largest 0.657 of what is owed.
+const CONFIDENT: u8 = 60;
+/// Part of the target latency after which no larger model is asked: its answer
+/// would come late, and late answers are worth less than most small models' ones.
+const ESCALATE_WITHIN: f64 = 0.6;
+
+/// What came of the start of a stream.
+pub enum Start<C: Codec> {
+    /// The stream has begun.
+    Begun(Box<Relay<C>>),
+    /// An upstream answered with a failure of its own.
+    Failed(Whole),
+    /// No upstream answered.
+    Refused(Refusal),
+}
+
+/// The caller's stream broke off; its connection is closed without an end mark.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Broken;
+
+impl std::fmt::Display for Broken {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the stream broke off")
+    }
+}
+
+impl std::error::Error for Broken {}
+
+/// A stream on its way to the caller.
+pub struct Relay<C: Codec> {
+    shared: Arc<Shared<C>>,
+    job: Job,
+    dispatch: Dispatch,
+    tried: Vec<id::Upstream>,
+    model: Option<id::Model>,
+    splitter: Splitter,
+    /// Head of the first answer.
+    pub head: http::response::Parts,
+    running: Option<Running<C>>,
+    outcome: Option<&'static str>,
+}
+
+/// The run that the stream comes from.
+struct Running<C: Codec> {
+    place: Place<C>,
+    connection: Connection,
+    body: Incoming,
+}
+
+/// Sees `job` through to the head of its answer.
+pub async fn start<C: Codec>(shared: &Arc<Shared<C>>, job: Job) -> Start<C> {
+    let mut dispatch = plain::dispatch(&job);
+    let mut tried = Vec::new();
+    let mut failing = Vec::new();
+    let mut failed = None;
+    let mut model = job.route.models.first().cloned();
+    shared
+        .budget()
+        .first(&plain::budget_class(&job), shared.clock.now());
+    loop {
+        let picked = pick::upstream(shared, &job, model.as_ref(), &tried)
+            // The only one there is may be asked for a larger model's answer.
+            .or_else(|| pick::upstream(shared, &job, model.as_ref(), &failing));
+        let Some(upstream) = picked else {
+            return failed.map_or_else(|| Start::Refused(dispatch.no_upstream()), Start::Failed);
+        };
+        tried.push(upstream.id.clone());
+        let terms = Terms {
+            model: model.as_ref(),
+            last_event: None,
+            has_another: dispatch.has_run_left(),
+        };
+        let failure = match attempt::send(shared, &job, &upstream, terms).await {
+            Ok(begun) if begun.is_failure => match plain::whole(shared, &job, begun).await {
+                Ok((answer, _)) => {
+                    failed = Some(answer);
+                    Failure::Failed
+                }
+                Err(failure) => failure,
+            },
+            Ok(begun) => match larger(shared, &job, &dispatch, model.as_ref(), &begun) {
+                Some(larger) => {
+                    dispatch.dropped();
+                    model = Some(larger);
+                    continue;
+                }
+                None => {
+                    return Start::Begun(Box::new(relay(
+                        shared, job, dispatch, tried, model, begun,
+                    )));
+                }
+            },
+            Err(failure) => failure,
+        };
+        failing.push(upstream.id.clone());
+        match plain::next(shared, &job, &mut dispatch, failure) {
+            Next::Retry => {}
+            Next::Refuse(refusal) => {
+                return failed.map_or(Start::Refused(refusal), Start::Failed);
+            }
+        }
+    }
+}
+
+/// The model to ask in place of an answer that its own model thinks little of.
+fn larger<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    dispatch: &Dispatch,
+    model: Option<&id::Model>,
+    begun: &Begun<C>,
+) -> Option<id::Model> {
+    let largest = job.route.models.last()?;
+    let confidence = begun.confidence?;
+    let is_poor = confidence < CONFIDENT && model != Some(largest);
+    let now = shared.clock.now();
+    let is_early = now.since(job.started) < job.route.target_latency.mul_f64(ESCALATE_WITHIN);
+    if !is_poor || !is_early || !dispatch.has_run_left() {
+        return None;
+    }
+    if !shared.budget().retry(&plain::budget_class(job), now) {
+        return None;
+    }
+    shared
+        .metrics
+        .escalated
+        .with_label_values(&[job.route.name.as_str()])
+        .inc();
+    log::debug!(id = job.asked.id.as_str(), confidence; "asking a larger model");
+    Some(largest.clone())
+}
+
+fn relay<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: Job,
+    dispatch: Dispatch,
+    tried: Vec<id::Upstream>,
+    model: Option<id::Model>,
+    begun: Begun<C>,
+) -> Relay<C> {
+    Relay {
+        shared: shared.clone(),
+        job,
+        dispatch,
+        tried,
+        model,
+        splitter: Splitter::default(),
+        head: begun.head,
+        running: Some(Running {
+            place: begun.place,
+            connection: begun.connection,
+            body: begun.body,
+        }),
+        outcome: None,
+    }
+}
+
+impl<C: Codec> Relay<C> {
+    /// The events, as frames of a body.
+    pub fn frames(self) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send {
+        stream::unfold(self, |mut relay| async move {
+            let frame = relay.next().await?;
+            Some((frame, relay))
+        })
+    }
+
+    async fn next(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
+        if self.outcome.is_some() {
+            return None;
+        }
+        loop {
+            let failure = match self.read().await {
+                Ok(Some(events)) => return Some(Ok(Frame::data(events))),
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(failure) => failure,
+            };
+            self.running = None;
+            if !self.resume(failure).await {
+                self.outcome = Some("cut");
+                return Some(Err(Broken));
+            }
+        }
+    }
+
+    /// The next whole events; `None` at the proper end.
+    async fn read(&mut self) -> Result<Option<Bytes>, Failure> {
+        let may_resume = self.job.route.kind.is_repeatable() && self.dispatch.has_run_left();
+        let running = self.running.as_mut().ok_or(Failure::Lost)?;
+        let since = self.shared.clock.now();
+        loop {
+            let frame = tokio::select! {
+                frame = running.body.frame() => frame,
+                failure = stalled(&self.shared, &self.job, &running.place, since, may_resume) => return Err(failure),
+            };
+            let data = match frame {
+                None if self.splitter.is_amid_event() => return Err(Failure::Cut),
+                None => return Ok(None),
+                Some(Err(_)) => {
+                    running.place.note(Event::Broke);
+                    return Err(Failure::Cut);
+                }
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            running.place.note(Event::Heard);
+            let events = self.splitter.push(&data);
+            let events = events.map_err(|_too_large| Failure::Garbled)?;
+            if !events.is_empty() {
+                return Ok(Some(events));
+            }
+        }
+    }
+
+    /// Goes on at another upstream after a failure; `false` if that can't be.
+    async fn resume(&mut self, mut failure: Failure) -> bool {
+        self.splitter.discard_part();
+        loop {
+            log::info!(
+                id = self.job.asked.id.as_str(), result = failure.as_str(),
+                after = self.splitter.last_id().unwrap_or("start");
+                "stream broke off"
+            );
+            let next = plain::next(&self.shared, &self.job, &mut self.dispatch, failure);
+            if let Next::Refuse(_) = next {
+                return false;
+            }
+            let model = self.model.as_ref();
+            let Some(upstream) = pick::upstream(&self.shared, &self.job, model, &self.tried) else {
+                return false;
+            };
+            failure = match self.go_on(&upstream).await {
+                Ok(()) => return true,
+                Err(failure) => failure,
+            };
+        }
+    }
+
+    async fn go_on(&mut self, upstream: &Arc<directory::Upstream>) -> Result<(), Failure> {
+        self.tried.push(upstream.id.clone());
+        let terms = Terms {
+            model: self.model.as_ref(),
+            last_event: self.splitter.last_id(),
+            has_another: self.dispatch.has_run_left(),
+        };
+        let begun = attempt::send(&self.shared, &self.job, upstream, terms).await?;
+        if begun.is_failure {
+            return Err(Failure::Failed);
+        }
+        self.shared
+            .metrics
+            .resumed
+            .with_label_values(&[self.job.route.name.as_str()])
+            .inc();
+        self.running = Some(Running {
+            place: begun.place,
+            connection: begun.connection,
+            body: begun.body,
+        });
+        Ok(())
+    }
+
+    fn finish(&mut self) {
+        self.outcome = Some("answered");
+        if let Some(running) = self.running.take() {
+            running.place.note(Event::Succeeded);
+            self.shared.pool.keep(running.connection);
+        }
+    }
+}
+
+/// Waits until it makes no sense to wait longer for the next event.
+///
+/// A stream whose upstream serves others meanwhile waits its turn; one whose
+/// upstream has fallen silent altogether goes elsewhere, since a VM that lost
+/// its power resets nothing.
+async fn stalled<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    place: &Place<C>,
+    since: time::Moment,
+    may_resume: bool,
+) -> Failure {
+    loop {
+        let now = shared.clock.now();
+        let left = job.ends.since(now);
+        if left.is_zero() {
+            return Failure::Stalled;
+        }
+        let silence = shared.balance().silence(&place.upstream.id, since, now);
+        if may_resume && silence >= attempt::SILENCE {
+            place.note(Event::Silent);
+            return Failure::Stalled;
+        }
+        let rest = attempt::SILENCE
+            .saturating_sub(silence)
+            .max(std::time::Duration::from_millis(20));
+        tokio::time::sleep(left.min(rest)).await;
+    }
+}
+
+impl<C: Codec> Drop for Relay<C> {
+    /// The caller may leave at any event, which drops the stream.
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or("left");
+        let took = self.shared.clock.now().since(self.job.started);
+        self.shared.metrics.in_flight.dec();
+        let route = self.job.route.name.as_str();
+        self.shared
+            .metrics
+            .answered
+            .with_label_values(&[route, outcome])
+            .inc();
+        log::info!(
+            id = self.job.asked.id.as_str(), route, outcome,
+            sends = self.tried.len(), model = self.model.as_ref().map_or("", id::Model::as_str),
+            took_ms = answer::millis(took);
+            "stream ended"
+        );
+    }
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -0,0 +1,194 @@
+//! An entry VM: its two threads, start and stop.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use cloverpost_core::directory::Member;
+use ractor::Actor;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::sync::oneshot;
+
+use crate::gateway::codec::Codec;
+use crate::gateway::control::{Command, Keeper, Parts};
+use crate::gateway::settings::Settings;
+use crate::gateway::shared::Phase;
+use crate::gateway::store::Store;
+use crate::gateway::{Shared, ready, reload, server};
+use crate::peer;
+
+/// Time between failing the readiness check and closing connections. The balancer
+/// asks each second and goes by two misses.
+const LEAVE: Duration = Duration::from_millis(2600);
+/// Time kept between the end of the last request and the kill.
+const KILL_MARGIN: Duration = Duration::from_millis(350);
+
+/// Why a VM did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// The system gave no thread or no runtime.
+    System(io::Error),
+    /// An address cannot be listened on: which setting, where, why.
+    Bind(&'static str, SocketAddr, io::Error),
+    /// The control thread ended as it started.
+    Control(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::System(error) => write!(f, "no thread: {error}"),
+            Self::Bind(setting, address, error) => {
+                write!(f, "{setting}: cannot listen on {address}: {error}")
+            }
+            Self::Control(reason) => write!(f, "the control thread did not start: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// What a VM is made of.
+pub struct Vm<C: Codec, S: Store> {
+    shared: Arc<Shared<C>>,
+    store: S,
+    own: Member,
+    callers: TcpListener,
+}
+
+impl<C: Codec, S: Store> Vm<C, S> {
+    /// Binds the sockets and starts the control thread. Traffic runs on the
+    /// present runtime.
+    pub async fn start(
+        settings: Settings,
+        file: Option<PathBuf>,
+        codec: C,
+        store: S,
+        keys: peer::Keys,
+    ) -> Result<Self, Error> {
+        let own = Member {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peer_addr,
+            seen_ms: 0,
+        };
+        let callers = bind("caller-addr", settings.caller_addr).await?;
+        let operators = bind("operator-addr", settings.operator_addr).await?;
+        let shared = Shared::new(settings, codec);
+        tokio::spawn(ready::run(operators, shared.clone()));
+        if let Some(file) = file {
+            tokio::spawn(reload::run(file, shared.clone()));
+        }
+        start_control(&shared, &store, &own, keys).await?;
+        Ok(Self {
+            shared,
+            store,
+            own,
+            callers,
+        })
+    }
+
+    /// Serves until `stop` resolves, then ends gracefully.
+    pub async fn run(self, stop: impl Future<Output = ()>) {
+        let grace = self.shared.settings.load().stop_grace;
+        let server = tokio::spawn(server::run(self.callers, self.shared.clone()));
+        stop.await;
+        let limit = tokio::time::sleep(grace.saturating_sub(KILL_MARGIN));
+        log::info!(in_flight = self.shared.metrics.in_flight.get(); "stopping: no longer ready");
+        self.shared.phase.send_replace(Phase::Leaving);
+        tokio::pin!(limit);
+        tokio::select! {
+            () = close(&self.shared, &self.store, &self.own, server) => log::info!("stopped"),
+            () = &mut limit => {
+                log::warn!(in_flight = self.shared.metrics.in_flight.get(); "stopped with requests in flight");
+            }
+        }
+    }
+}
+
+async fn close<C: Codec, S: Store>(
+    shared: &Shared<C>,
+    store: &S,
+    own: &Member,
+    server: tokio::task::JoinHandle<()>,
+) {
+    tokio::time::sleep(LEAVE).await;
+    log::info!(in_flight = shared.metrics.in_flight.get(); "closing connections");
+    shared.phase.send_replace(Phase::Closing);
+    // A panic of the server was told when it happened.
+    let _ = server.await;
+    while shared.metrics.in_flight.get() > 0 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    if let Err(error) = store.withdraw(own).await {
+        log::warn!(why:% = error; "this VM stays on the list");
+    }
+}
+
+async fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let bound = server::bind(address).await;
+    bound.map_err(|error| Error::Bind(setting, address, error))
+}
+
+/// Starts the thread of links and of the keeper.
+async fn start_control<C: Codec, S: Store>(
+    shared: &Arc<Shared<C>>,
+    store: &S,
+    own: &Member,
+    keys: peer::Keys,
+) -> Result<(), Error> {
+    let options = peer::Options::new(own.vm.clone(), own.zone.clone(), keys);
+    let address = own.address;
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::System)?;
+    let (tell, started) = oneshot::channel();
+    let (shared, store, own) = (shared.clone(), store.clone(), own.clone());
+    let control = async move {
+        let (links, inbox) = match peer::Links::bind(address, options).await {
+            Ok(bound) => bound,
+            Err(error) => {
+                let _ = tell.send(Err(Error::Bind("peer-addr", address, error)));
+                return;
+            }
+        };
+        let parts = Parts {
+            shared,
+            store,
+            links,
+            own,
+        };
+        match Actor::spawn(None, Keeper::default(), parts).await {
+            Ok((keeper, task)) => {
+                let _ = tell.send(Ok(()));
+                tokio::spawn(pass_on(inbox, keeper));
+                // Ends with the process; a panic of the actor ends its task.
+                let _ = task.await;
+                log::error!("the control thread has ended");
+            }
+            Err(error) => {
+                let _ = tell.send(Err(Error::Control(error.to_string())));
+            }
+        }
+    };
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || runtime.block_on(control))
+        .map_err(Error::System)?;
+    let gone = |_| Error::Control("it ended at once".to_owned());
+    started.await.map_err(gone)?
+}
+
+async fn pass_on(mut inbox: peer::Inbox, keeper: ractor::ActorRef<Command>) {
+    while let Some(incoming) = inbox.recv().await {
+        if keeper.cast(Command::Peer(Box::new(incoming))).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/cloverpost/src/lib.rs
+++ b/crates/cloverpost/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod control;
 pub mod front;
+pub mod gateway;
 pub mod lease;
 pub mod logs;
 pub mod metrics;
--- a/crates/cloverpost/src/logs/mod.rs
+++ b/crates/cloverpost/src/logs/mod.rs
@@ -4,6 +4,7 @@
 //! [`crate::metrics`].
 
 mod format;
+mod writer;
 
 pub use format::Format;
 
@@ -44,12 +45,63 @@
         .map_err(Error)
 }
 
-/// One log line as a JSON object.
+/// Sends log lines of `level` and above to standard output as JSON, one a line,
+/// without ever waiting for whoever reads them: what does not fit into the buffer
+/// is dropped and counted in a line of its own.
+pub fn init_bounded(level: log::LevelFilter) -> Result<(), Error> {
+    let writer = writer::Writer::start(io::stdout());
+    fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("cloverpost", level)
+        .level_for("cloverpost_core", level)
+        .level_for("cloverpost_adapter", level)
+        .chain(fern::Output::call(move |record| {
+            writer.write(line(record.args(), record).to_string());
+        }))
+        .apply()
+        .map_err(Error)
+}
+
+/// One log line as a JSON object, with the record's keys beside the message.
 fn line(message: &fmt::Arguments<'_>, record: &log::Record<'_>) -> serde_json::Value {
-    serde_json::json!({
-        "time": humantime::format_rfc3339_millis(SystemTime::now()).to_string(),
-        "level": record.level().as_str(),
-        "target": record.target(),
-        "message": message.to_string(),
-    })
+    let mut fields = Fields(serde_json::Map::new());
+    fields.put(
+        "time",
+        humantime::format_rfc3339_millis(SystemTime::now())
+            .to_string()
+            .into(),
+    );
+    fields.put("level", record.level().as_str().into());
+    fields.put("target", record.target().into());
+    fields.put("message", message.to_string().into());
+    // The collector below never fails.
+    let _ = record.key_values().visit(&mut fields);
+    serde_json::Value::Object(fields.0)
+}
+
+/// Collects the keys of a record.
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl Fields {
+    fn put(&mut self, key: &str, value: serde_json::Value) {
+        self.0.insert(key.to_owned(), value);
+    }
+}
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Fields {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        let whole = || value.to_u64().map(serde_json::Value::from);
+        let signed = || value.to_i64().map(serde_json::Value::from);
+        let truth = || value.to_bool().map(serde_json::Value::from);
+        let json = whole().or_else(signed).or_else(truth);
+        self.put(
+            key.as_str(),
+            json.unwrap_or_else(|| value.to_string().into()),
+        );
+        Ok(())
+    }
 }
--- a/crates/cloverpost/src/metrics/mod.rs
+++ b/crates/cloverpost/src/metrics/mod.rs
@@ -196,15 +196,20 @@
     /// Never: writing to memory does not fail.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        TextEncoder::new()
-            .encode(&self.registry.gather(), &mut text)
-            .expect("writing to memory does not fail");
-        text
+        text(&self.registry)
     }
 }
 
-fn register<C: prometheus::core::Collector + Clone + 'static>(
+/// Everything in `registry` in the Prometheus text format.
+pub(crate) fn text(registry: &Registry) -> Vec<u8> {
+    let mut text = Vec::new();
+    TextEncoder::new()
+        .encode(&registry.gather(), &mut text)
+        .expect("writing to memory does not fail");
+    text
+}
+
+pub(crate) fn register<C: prometheus::core::Collector + Clone + 'static>(
     registry: &Registry,
     made: prometheus::Result<C>,
 ) -> C {
