--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -47,7 +47,9 @@
     let now = shared.clock.now();
     let usable = pool.upstreams.iter().filter(|one| side.takes(one));
     let chosen = shared.balance().choose(usable, &want, now).cloned()?;
-    if let (Some(session), Allowed::Rollout(_)) = (job.asked.session, &pool.allowed) {
+    if let Some(session) = job.asked.session {
+        // Noted at all times: a session that began before a roll-out stays where it
+        // is through the first half of it.
         shared.sessions().note(session, &chosen.version, now);
     }
     Some(chosen)
