fix(cloverpost): evidence by route and pooled; sessions stay through whichever VM

Change: counts are kept by route and side of the roll-out and sent to three VMs found by rendezvous, which judge on the sum; nothing moves while a session from before may still come, those seen meanwhile are told to all by way of the same three and stay.

--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -22,6 +22,8 @@
 /// A roll-out that is under way.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rollout {
+    /// Version of the order's row; tells roll-outs apart.
+    pub order: crate::directory::Version,
     /// The version that the service moves to.
     pub target: id::Version,
     /// Reading of the store's clock at its start, in milliseconds.
@@ -102,6 +104,7 @@
         State::Completed => Allowed::Only(progress.target.clone()),
         State::Reverted => Allowed::Except(progress.target.clone()),
         State::InProgress => Allowed::Rollout(Rollout {
+            order: progress.order,
             target: progress.target.clone(),
             started_ms: progress.started_ms,
             duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
--- a/crates/cloverpost-core/src/exposure/mod.rs
+++ b/crates/cloverpost-core/src/exposure/mod.rs
@@ -5,8 +5,16 @@
 //! constant through the first half, in which a session must stay on the version
 //! that it began with, and rises once nothing was found wrong.
 
+mod judges;
+mod key;
+mod message;
+mod pins;
 mod sessions;
 mod stage;
 
+pub use judges::{JUDGES, judges};
+pub use key::Key;
+pub use message::Message;
+pub use pins::Pins;
 pub use sessions::Sessions;
 pub use stage::{Stage, stage};
--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -1,6 +1,8 @@
 //! All messages.
 
-use cloverpost_core::{billing, directory, evidence, membership, poison, rollout, spread};
+use cloverpost_core::{
+    billing, directory, evidence, exposure, membership, poison, rollout, spread,
+};
 
 use crate::hello;
 
@@ -26,4 +28,6 @@
     Halts(Vec<rollout::Halt>),
     /// The store's tables.
     Directory(directory::Message),
+    /// Evidence and sessions of roll-outs.
+    Exposure(exposure::Message),
 }
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -12,8 +12,8 @@
 use crate::gateway::Shared;
 use crate::gateway::answer;
 use crate::gateway::codec::{Attempt, Codec, Verdict};
-use crate::gateway::evidence::Origin;
 use crate::gateway::job::Job;
+use crate::gateway::pick;
 use crate::gateway::place::Place;
 use crate::gateway::pool::Connection;
 
@@ -195,6 +195,30 @@
     request
 }
 
+/// Counts what an attempt shows of a version that is rolled out.
+fn weigh<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    terms: Terms<'_>,
+    took: Duration,
+    result: &Result<Begun<C>, Failure>,
+) {
+    let mut evidence = shared.evidence();
+    let good = match result {
+        Ok(begun) => {
+            let is_slow = evidence.time(&job.route.name, terms.model, took);
+            !begun.is_failure && !is_slow
+        }
+        Err(Failure::Lost | Failure::Mismatched | Failure::TimedOut) => false,
+        // It never ran, which says nothing of the version.
+        Err(_) => return,
+    };
+    if let Some(key) = pick::evidence_key(shared, job, upstream) {
+        evidence.count(&key, good);
+    }
+}
+
 /// Notes for metrics, logs and roll-outs how an attempt went.
 fn note<C: Codec>(
     shared: &Shared<C>,
@@ -205,29 +229,12 @@
     result: &Result<Begun<C>, Failure>,
 ) {
     let took = shared.clock.now().since(sent);
-    let origin = Origin {
-        service: &job.service,
-        version: &upstream.version,
-        route: &job.route.name,
-        model: terms.model,
-    };
     let name = match result {
         Ok(begun) if begun.is_failure => "failed",
         Ok(_) => "answered",
         Err(failure) => failure.as_str(),
     };
-    let mut evidence = shared.evidence();
-    match result {
-        Ok(begun) => {
-            let is_slow = evidence.time(&origin, took);
-            evidence.count(&origin, !begun.is_failure && !is_slow);
-        }
-        Err(Failure::Lost | Failure::Mismatched | Failure::TimedOut) => {
-            evidence.count(&origin, false);
-        }
-        Err(_) => {}
-    }
-    drop(evidence);
+    weigh(shared, job, upstream, terms, took, result);
     shared
         .metrics
         .attempts
--- a/crates/cloverpost/src/gateway/control.rs
+++ b/crates/cloverpost/src/gateway/control.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::{Image, Member, Page, Upstream, View};
-use cloverpost_core::{directory, id, time};
+use cloverpost_core::{directory, exposure, id, time};
 use cloverpost_wire::Message;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -32,6 +32,8 @@
 const TOLD: usize = 3;
 /// Time between checks of connections to upstreams.
 const SWEEP: Duration = Duration::from_secs(2);
+/// Time between messages to the VMs that judge a roll-out.
+const EVIDENCE: Duration = Duration::from_millis(450);
 /// Time without news from the store after which peers are asked.
 const STALE: Duration = Duration::from_secs(4);
 
@@ -97,6 +99,7 @@
     returned: Option<time::Moment>,
     heard: time::Moment,
     swept: time::Moment,
+    shared_evidence: time::Moment,
     is_writing: bool,
     follows_progress: watch::Sender<bool>,
     always: watch::Sender<bool>,
@@ -120,6 +123,7 @@
             returned: None,
             heard: time::Moment::default(),
             swept: time::Moment::default(),
+            shared_evidence: time::Moment::default(),
             is_writing: false,
             follows_progress: watch::Sender::new(false),
             always: watch::Sender::new(true),
@@ -277,9 +281,70 @@
             .metrics
             .ready
             .set(i64::from(self.parts.shared.is_ready()));
+        if now.since(self.shared_evidence) > EVIDENCE {
+            self.shared_evidence = now;
+            self.share_evidence();
+        }
         self.drive_rollouts(myself);
     }
 
+    fn weigh(&self, from: id::Vm, message: exposure::Message) {
+        let shared = &self.parts.shared;
+        match message {
+            exposure::Message::Evidence(digest) => shared.evidence().merge(from, digest),
+            exposure::Message::Pinned {
+                service,
+                order,
+                sessions,
+            } => shared.pins().merge(&(service, order), &sessions),
+        }
+    }
+
+    /// Sends what this VM knows of open roll-outs to those that judge them; they tell
+    /// everybody which sessions stay.
+    fn share_evidence(&self) {
+        let open = rollouts::under_way(&self.image);
+        self.parts.shared.evidence().retain(&open);
+        self.parts
+            .shared
+            .pins()
+            .retain(|rollout| open.contains(rollout));
+        for rollout in open {
+            self.share_evidence_on(&rollout);
+        }
+    }
+
+    fn share_evidence_on(&self, rollout: &(id::Pool, directory::Version)) {
+        let shared = &self.parts.shared;
+        let (service, order) = rollout;
+        let digest = shared.evidence().digest(service, *order);
+        let sessions = shared.pins().take_untold(rollout);
+        let judges = rollouts::judges(&self.image, service);
+        let is_judge = judges.contains(&&self.parts.own.vm);
+        let pinned = exposure::Message::Pinned {
+            service: service.clone(),
+            order: *order,
+            sessions: sessions.clone(),
+        };
+        let evidence = Message::Exposure(exposure::Message::Evidence(digest.clone()));
+        let pinned = Message::Exposure(pinned);
+        for target in self.others() {
+            let judges = judges.contains(&&target.vm);
+            if judges && !digest.rows.is_empty() {
+                self.send(&target, &evidence);
+            }
+            if (judges || is_judge) && !sessions.is_empty() {
+                self.send(&target, &pinned);
+            }
+        }
+    }
+
+    fn send(&self, target: &peer::Target, message: &Message) {
+        if let Err(error) = self.parts.links.send(target, message) {
+            log::debug!(peer:% = target, why:% = error; "a peer was not told");
+        }
+    }
+
     fn drive_rollouts(&mut self, myself: &ActorRef<Command>) {
         if self.is_writing || self.lost.contains_key(&Topic::Operators) {
             return;
@@ -301,8 +366,13 @@
     }
 
     fn hear(&mut self, myself: &ActorRef<Command>, incoming: peer::Incoming) {
-        let Message::Directory(message) = incoming.message else {
-            return;
+        let message = match incoming.message {
+            Message::Directory(message) => message,
+            Message::Exposure(message) => {
+                self.weigh(incoming.from.vm, message);
+                return;
+            }
+            _ => return,
         };
         match message {
             directory::Message::Have(versions) => {
@@ -340,9 +410,7 @@
         let have = Message::Directory(directory::Message::Have(self.image.versions()));
         for _ in 0..TOLD.min(others.len()) {
             let target = others.swap_remove(rand::random_range(0..others.len()));
-            if let Err(error) = self.parts.links.send(&target, &have) {
-                log::debug!(peer:% = target, why:% = error; "a peer was not told");
-            }
+            self.send(&target, &have);
         }
     }
 
--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -1,44 +1,46 @@
-//! How the versions of services answer.
+//! How the two sides of roll-outs answer.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
-use cloverpost_core::evidence::Counts;
-use cloverpost_core::{id, rollout};
+use cloverpost_core::directory::Version;
+use cloverpost_core::evidence::{Counts, Digest, Ledger, Row, Source};
+use cloverpost_core::{exposure, id, rollout};
 
 /// Multiple of the usual time to an answer from which on it counts against its
 /// version. Prompts differ in length by as much, but on both versions alike.
 const SLOW: f64 = 3.0;
 /// Part of a new time in the usual one.
 const PART: f64 = 0.05;
-/// Share of the roll-outs of good versions that may be halted on one VM.
-const FALSE_HALT: f64 = 0.002;
+/// Share of the roll-outs of good versions that may be halted.
+const FALSE_HALT: f64 = 0.01;
 
-/// Counts of good and bad answers, by service and version.
-#[derive(Debug, Default)]
+/// Counts of good and bad answers of open roll-outs, of this VM and of those that
+/// told it theirs.
+#[derive(Debug)]
 pub struct Evidence {
-    counts: HashMap<(id::Pool, id::Version), Counts>,
+    own: Source,
+    ledger: Ledger<exposure::Key>,
     usual: HashMap<(id::Entry, Option<id::Model>), f64>,
-}
-
-/// Where an answer came from.
-#[derive(Clone, Debug)]
-pub struct Origin<'a> {
-    /// The service.
-    pub service: &'a id::Pool,
-    /// Version of its software.
-    pub version: &'a id::Version,
-    /// Route of the request.
-    pub route: &'a id::Entry,
-    /// Model that answered.
-    pub model: Option<&'a id::Model>,
+    /// Roll-outs that were found bad here.
+    worse: BTreeSet<(id::Pool, Version)>,
 }
 
 impl Evidence {
+    /// Evidence of the process `own`, which has seen nothing.
+    pub fn new(own: Source) -> Self {
+        Self {
+            own,
+            ledger: Ledger::default(),
+            usual: HashMap::new(),
+            worse: BTreeSet::new(),
+        }
+    }
+
     /// Notes the time to an answer's start; whether it is slow against the usual.
-    pub fn time(&mut self, origin: &Origin<'_>, took: Duration) -> bool {
+    pub fn time(&mut self, route: &id::Entry, model: Option<&id::Model>, took: Duration) -> bool {
         let took = took.as_secs_f64();
-        let key = (origin.route.clone(), origin.model.cloned());
+        let key = (route.clone(), model.cloned());
         let usual = self.usual.entry(key).or_insert(took);
         let is_slow = took > *usual * SLOW;
         // One that is far off must not move what it is measured against.
@@ -46,42 +48,84 @@
         is_slow
     }
 
-    /// Counts an answer of a version.
-    pub fn count(&mut self, origin: &Origin<'_>, good: bool) {
-        let key = (origin.service.clone(), origin.version.clone());
-        let counts = self.counts.entry(key).or_default();
-        if good {
-            counts.passes += 1;
-        } else {
-            counts.fails += 1;
+    /// Counts an answer.
+    pub fn count(&mut self, key: &exposure::Key, good: bool) {
+        self.ledger.record(&self.own, key, good);
+    }
+
+    /// Takes in what another VM counted.
+    pub fn merge(&mut self, vm: id::Vm, digest: Digest<exposure::Key>) {
+        let source = Source {
+            vm,
+            process: digest.process,
+        };
+        for row in digest.rows {
+            self.ledger.merge(&source, &row.key, row.counts);
         }
     }
 
-    /// Forgets what was counted for `service`, as a roll-out begins.
-    pub fn reset(&mut self, service: &id::Pool) {
-        self.counts.retain(|(one, _), _| one != service);
+    /// What this VM counted of the roll-out `order` of `service`.
+    pub fn digest(&self, service: &id::Pool, order: Version) -> Digest<exposure::Key> {
+        let own = self.ledger.digest().filter(|(source, key, _)| {
+            **source == self.own && key.service == *service && key.order == order
+        });
+        Digest {
+            process: self.own.process,
+            rows: own
+                .map(|(_, key, counts)| Row {
+                    key: key.clone(),
+                    counts,
+                })
+                .collect(),
+        }
     }
 
-    /// Counts of `target` and of all other versions of `service`.
-    pub fn of(&self, service: &id::Pool, target: &id::Version) -> rollout::Evidence {
-        let mut found = rollout::Evidence::default();
-        for ((one, version), counts) in &self.counts {
-            if one != service {
-                continue;
-            }
-            let side = if version == target {
-                &mut found.new
-            } else {
-                &mut found.old
+    /// Answers of the new version that are known.
+    pub fn answers(&self, service: &id::Pool, order: Version) -> u64 {
+        let keys = self.ledger.keys();
+        let new = keys.filter(|key| key.is_new && key.service == *service && key.order == order);
+        new.map(|key| self.ledger.total(key).total()).sum()
+    }
+
+    /// Judges the roll-out `order` of `service` on all that is known; whether the
+    /// new version answers worse on any route.
+    pub fn judge(&mut self, service: &id::Pool, order: Version) -> bool {
+        let keys = self.ledger.keys();
+        let new = keys.filter(|key| key.is_new && key.service == *service && key.order == order);
+        let new: Vec<_> = new.cloned().collect();
+        let routes = u32::try_from(new.len()).unwrap_or(u32::MAX).max(1);
+        let false_halt = FALSE_HALT / f64::from(routes);
+        let is_worse = new.into_iter().any(|key| {
+            let old = exposure::Key {
+                is_new: false,
+                ..key.clone()
             };
-            side.passes += counts.passes;
-            side.fails += counts.fails;
+            let found = rollout::Evidence {
+                new: self.total(&key),
+                old: self.total(&old),
+            };
+            rollout::is_worse(found, false_halt)
+        });
+        if is_worse {
+            self.worse.insert((service.clone(), order));
         }
-        found
+        is_worse
+    }
+
+    /// Whether the last judgement found the new version worse.
+    pub fn is_worse(&self, service: &id::Pool, order: Version) -> bool {
+        !self.worse.is_empty() && self.worse.contains(&(service.clone(), order))
+    }
+
+    /// Forgets roll-outs other than `open`.
+    pub fn retain(&mut self, open: &BTreeSet<(id::Pool, Version)>) {
+        let is_open = |service: &id::Pool, order: Version| open.contains(&(service.clone(), order));
+        self.ledger.retain(|key| is_open(&key.service, key.order));
+        self.worse
+            .retain(|(service, order)| is_open(service, *order));
     }
 
-    /// Whether `target` answers worse than the other versions of `service`.
-    pub fn is_worse(&self, service: &id::Pool, target: &id::Version) -> bool {
-        rollout::is_worse(self.of(service, target), FALSE_HALT)
+    fn total(&self, key: &exposure::Key) -> Counts {
+        self.ledger.total(key)
     }
 }
--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -55,6 +55,24 @@
     Some(chosen)
 }
 
+/// What an answer of `upstream` is evidence of; `None` without a roll-out.
+pub fn evidence_key<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &Upstream,
+) -> Option<exposure::Key> {
+    let view = shared.view.load();
+    let Allowed::Rollout(rollout) = &view.pools.get(&job.service)?.allowed else {
+        return None;
+    };
+    Some(exposure::Key {
+        service: job.service.clone(),
+        order: rollout.order,
+        route: job.route.name.clone(),
+        is_new: upstream.version == rollout.target,
+    })
+}
+
 /// Places that are taken and that there are on the upstreams of `service`.
 pub fn occupancy<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> (u32, u32) {
     let view = shared.view.load();
@@ -77,32 +95,34 @@
 fn rollout_side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool, rollout: &Rollout) -> Side {
     let old = Side::Except(rollout.target.clone());
     let new = Side::Only(rollout.target.clone());
-    let is_worse = shared.evidence().is_worse(&job.service, &rollout.target);
+    let is_worse = shared.evidence().is_worse(&job.service, rollout.order);
     let has = |side: &Side| pool.upstreams.iter().any(|one| side.takes(one));
     if is_worse || !has(&new) {
         return old;
     }
-    let settings = shared.settings.load();
-    let stage = exposure::stage(rollout, shared.store_now_ms(), settings.exposure_share);
-    let goes_new = match stays(shared, job, rollout, settings.session_gap) {
-        Some(true) => true,
-        Some(false) if stage.is_pinned => false,
-        _ => point(job, rollout) < stage.share,
-    };
-    if goes_new || !has(&old) { new } else { old }
+    if goes_new(shared, job, rollout) || !has(&old) {
+        new
+    } else {
+        old
+    }
 }
 
-/// Whether the job's session ran on the new version before; `None` if unknown.
-fn stays<C: Codec>(
-    shared: &Shared<C>,
-    job: &Job,
-    rollout: &Rollout,
-    gap: std::time::Duration,
-) -> Option<bool> {
+fn goes_new<C: Codec>(shared: &Shared<C>, job: &Job, rollout: &Rollout) -> bool {
+    let stage = shared.stage(rollout);
+    let point = point(job, rollout);
+    let Some(session) = job.asked.session.filter(|_| stage.is_pinned) else {
+        return point < stage.share;
+    };
+    let key = (job.service.clone(), rollout.order);
+    if stage.is_watching && point < stage.first_share {
+        shared.pins().pin(&key, session);
+    }
+    let gap = shared.settings.load().session_gap;
     let now = shared.clock.now();
-    let sessions = shared.sessions();
-    let version = sessions.version(job.asked.session?, now, gap)?;
-    Some(*version == rollout.target)
+    match shared.sessions().version(session, now, gap) {
+        Some(version) => *version == rollout.target,
+        None => point < stage.share && !shared.pins().holds(&key, session),
+    }
 }
 
 /// Where a job falls between 0 and 1, alike on every VM.
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -4,6 +4,8 @@
 //! condition that nobody else has: a VM that dies, freezes or is cut off leaves
 //! nothing behind that another could not go on with.
 
+use std::collections::BTreeSet;
+
 use cloverpost_core::directory::{Image, Order, Progress, State, Version, View};
 use cloverpost_core::{directory, exposure, id};
 
@@ -12,8 +14,9 @@
 
 /// Answers of the new version without which it is not called good.
 const LEAST_ANSWERS: u64 = 20;
-/// Part of the time from which on a roll-out is completed with fewer answers.
-const LAST_CALL: f64 = 0.93;
+/// Part of the time that each VM leaves to the one that ranks before it. At 16 s it
+/// is half a second, in which a write is done and read.
+const RANK_WAIT: f64 = 0.03;
 
 /// A write that moves a roll-out on.
 #[derive(Clone, Debug, PartialEq)]
@@ -57,7 +60,6 @@
         .map(|row| &row.value)
         .filter(|progress| progress.answers(order, version));
     let Some(current) = current else {
-        shared.evidence().reset(&order.service);
         return Some(Step {
             progress: begin(order, version, shared.store_now_ms()),
             expected,
@@ -67,7 +69,7 @@
     if current.state != State::InProgress {
         return None;
     }
-    let (state, why) = verdict(shared, order, current)?;
+    let (state, why) = verdict(shared, image, order, current)?;
     let progress = Progress {
         state,
         ..current.clone()
@@ -92,34 +94,62 @@
 /// How a roll-out under way ends, if it does now.
 fn verdict<C: Codec>(
     shared: &Shared<C>,
+    image: &Image,
     order: &Order,
     current: &Progress,
 ) -> Option<(State, &'static str)> {
-    if shared.evidence().is_worse(&order.service, &order.target) {
+    if shared.evidence().judge(&order.service, current.order) {
         return Some((State::Reverted, "the new version answers worse"));
     }
-    let duration_ms = u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX);
     let rollout = directory::Rollout {
+        order: current.order,
         target: order.target.clone(),
         started_ms: current.started_ms,
-        duration_ms,
+        duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
     };
-    let now_ms = shared.store_now_ms();
-    let stage = exposure::stage(&rollout, now_ms, 0.0);
-    if !stage.may_complete || !runs(&shared.view.load(), &order.service, &order.target) {
+    let stage = shared.stage(&rollout);
+    let waits = rank(shared, image, &order.service) * RANK_WAIT;
+    if !stage.may_complete(waits) || !runs(&shared.view.load(), &order.service, &order.target) {
         return None;
     }
-    let answers = shared
-        .evidence()
-        .of(&order.service, &order.target)
-        .new
-        .total();
-    #[allow(clippy::cast_precision_loss)] // milliseconds of a roll-out are few
-    let part = now_ms.saturating_sub(current.started_ms) as f64 / duration_ms.max(1) as f64;
-    let is_seen = answers >= LEAST_ANSWERS || part >= LAST_CALL;
+    let answers = shared.evidence().answers(&order.service, current.order);
+    let is_seen = answers >= LEAST_ANSWERS || stage.is_last_call;
     is_seen.then_some((State::Completed, "the new version answers well"))
 }
 
+/// Place of this VM among those that judge a roll-out; the last if it does not.
+fn rank<C: Codec>(shared: &Shared<C>, image: &Image, service: &id::Pool) -> f64 {
+    let own = &shared.settings.load().vm;
+    let judges = judges(image, service);
+    let rank = judges
+        .iter()
+        .position(|vm| *vm == own)
+        .unwrap_or(exposure::JUDGES);
+    f64::from(u32::try_from(rank).unwrap_or(u32::MAX))
+}
+
+/// VMs that pool the evidence on `service`.
+pub fn judges<'a>(image: &'a Image, service: &id::Pool) -> Vec<&'a id::Vm> {
+    exposure::judges(
+        service,
+        image.members.rows.values().map(|row| &row.value.vm),
+    )
+}
+
+/// Roll-outs that are under way.
+pub fn under_way(image: &Image) -> BTreeSet<(id::Pool, Version)> {
+    let orders = image.orders.rows.values();
+    let open = orders.filter(|row| {
+        let progress = image.progress.rows.get(row.value.service.as_str());
+        let progress = progress.map(|progress| &progress.value);
+        progress.is_some_and(|one| {
+            one.answers(&row.value, row.version) && one.state == State::InProgress
+        })
+    });
+    open.map(|row| (row.value.service.clone(), row.version))
+        .collect()
+}
+
 /// Whether upstreams of `service` run `version`.
 fn runs(view: &View, service: &id::Pool, version: &id::Version) -> bool {
     let pool = view.pools.get(service);
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
-use cloverpost_core::{balance, budget, directory, exposure, time};
+use cloverpost_core::evidence::Source;
+use cloverpost_core::{balance, budget, directory, exposure, id, time};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -48,6 +49,7 @@
     pub phase: watch::Sender<Phase>,
     balance: Mutex<balance::Balance>,
     sessions: Mutex<exposure::Sessions>,
+    pins: Mutex<exposure::Pins>,
     budget: Mutex<budget::Budget>,
     evidence: Mutex<Evidence>,
     /// The store's clock less this VM's, in milliseconds.
@@ -60,6 +62,12 @@
     pub fn new(settings: Settings, codec: C) -> Arc<Self> {
         let clock = Clock::start();
         let budget = budget::Budget::new(budget_options(&settings, 1));
+        let source = Source {
+            vm: settings.vm.clone(),
+            // A restarted process counts from zero, so its counts need a name of
+            // their own; nothing orders the names.
+            process: id::Process::new(rand::random()),
+        };
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -70,8 +78,9 @@
             phase: watch::Sender::new(Phase::Serving),
             balance: Mutex::default(),
             sessions: Mutex::default(),
+            pins: Mutex::default(),
             budget: Mutex::new(budget),
-            evidence: Mutex::default(),
+            evidence: Mutex::new(Evidence::new(source)),
             store_offset: AtomicI64::new(0),
         })
     }
@@ -86,6 +95,23 @@
         lock(&self.sessions)
     }
 
+    /// Sessions that stay on the old version of a roll-out.
+    pub fn pins(&self) -> MutexGuard<'_, exposure::Pins> {
+        lock(&self.pins)
+    }
+
+    /// Where `rollout` stands now.
+    pub fn stage(&self, rollout: &directory::Rollout) -> exposure::Stage {
+        let settings = self.settings.load();
+        let now_ms = self.store_now_ms();
+        exposure::stage(
+            rollout,
+            now_ms,
+            settings.exposure_share,
+            settings.session_gap,
+        )
+    }
+
     /// What may be sent again.
     pub fn budget(&self) -> MutexGuard<'_, budget::Budget> {
         lock(&self.budget)
--- a/crates/cloverpost/src/gateway/stream.rs
+++ b/crates/cloverpost/src/gateway/stream.rs
@@ -232,6 +232,7 @@
                 None => return Ok(None),
                 Some(Err(_)) => {
                     running.place.note(Event::Broke);
+                    weigh_cut(&self.shared, &self.job, &running.place);
                     return Err(Failure::Cut);
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -302,6 +303,13 @@
     }
 }
 
+/// Counts a stream that broke off against its version.
+fn weigh_cut<C: Codec>(shared: &Shared<C>, job: &Job, place: &Place<C>) {
+    if let Some(key) = pick::evidence_key(shared, job, &place.upstream) {
+        shared.evidence().count(&key, false);
+    }
+}
+
 /// Waits until it makes no sense to wait longer for the next event.
 ///
 /// A stream whose upstream serves others meanwhile waits its turn; one whose
@@ -345,7 +353,7 @@
             .with_label_values(&[route, outcome])
             .inc();
         log::info!(
-            id = self.job.asked.id.as_str(), route, outcome,
+            id = self.job.asked.id.as_str(), route, outcome, session = self.job.asked.session,
             sends = self.tried.len(), model = self.model.as_ref().map_or("", id::Model::as_str),
             took_ms = answer::millis(took);
             "stream ended"
