--- a/crates/cloverpost/src/gateway/plain.rs
+++ b/crates/cloverpost/src/gateway/plain.rs
@@ -50,7 +50,10 @@
         .budget()
         .first(&budget_class(job), shared.clock.now());
     loop {
-        let Some(upstream) = pick::upstream(shared, job, None, &tried) else {
+        // With none left, one that failed may do better on another connection.
+        let picked = pick::upstream(shared, job, None, &tried)
+            .or_else(|| pick::upstream(shared, job, None, &[]));
+        let Some(upstream) = picked else {
             return failed.map_or_else(
                 || Outcome::Refused(dispatch.no_upstream()),
                 Outcome::Answered,
--- a/crates/cloverpost/src/gateway/stream.rs
+++ b/crates/cloverpost/src/gateway/stream.rs
@@ -90,9 +90,11 @@
         .budget()
         .first(&plain::budget_class(&job), shared.clock.now());
     loop {
+        // With none left, one that failed may do better on another connection, and one
+        // that did not may be asked for a larger model's answer.
         let picked = pick::upstream(shared, &job, model.as_ref(), &tried)
-            // The only one there is may be asked for a larger model's answer.
-            .or_else(|| pick::upstream(shared, &job, model.as_ref(), &failing));
+            .or_else(|| pick::upstream(shared, &job, model.as_ref(), &failing))
+            .or_else(|| pick::upstream(shared, &job, model.as_ref(), &[]));
         let Some(upstream) = picked else {
             return failed.map_or_else(|| Start::Refused(dispatch.no_upstream()), Start::Failed);
         };
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -59,6 +59,7 @@
     store: S,
     own: Member,
     callers: TcpListener,
+    operators: SocketAddr,
 }
 
 impl<C: Codec, S: Store> Vm<C, S> {
@@ -71,28 +72,35 @@
         store: S,
         keys: peer::Keys,
     ) -> Result<Self, Error> {
-        let own = Member {
-            vm: settings.vm.clone(),
-            zone: settings.zone.clone(),
-            address: settings.peer_addr,
-            seen_ms: 0,
-        };
         let callers = bind("caller-addr", settings.caller_addr).await?;
         let operators = bind("operator-addr", settings.operator_addr).await?;
+        let operators_addr = operators.local_addr().map_err(Error::System)?;
         let shared = Shared::new(settings, codec);
         tokio::spawn(ready::run(operators, shared.clone()));
         if let Some(file) = file {
             tokio::spawn(reload::run(file, shared.clone()));
         }
-        start_control(&shared, &store, &own, keys).await?;
+        let own = start_control(&shared, &store, keys).await?;
         Ok(Self {
             shared,
             store,
             own,
             callers,
+            operators: operators_addr,
         })
     }
 
+    /// Where callers connect.
+    pub fn caller_addr(&self) -> io::Result<SocketAddr> {
+        self.callers.local_addr()
+    }
+
+    /// Where readiness and metrics are served.
+    #[must_use]
+    pub const fn operator_addr(&self) -> SocketAddr {
+        self.operators
+    }
+
     /// Serves until `stop` resolves, then ends gracefully.
     pub async fn run(self, stop: impl Future<Output = ()>) {
         let grace = self.shared.settings.load().stop_grace;
@@ -135,21 +143,21 @@
     bound.map_err(|error| Error::Bind(setting, address, error))
 }
 
-/// Starts the thread of links and of the keeper.
+/// Starts the thread of links and of the keeper; this VM as it lists itself.
 async fn start_control<C: Codec, S: Store>(
     shared: &Arc<Shared<C>>,
     store: &S,
-    own: &Member,
     keys: peer::Keys,
-) -> Result<(), Error> {
-    let options = peer::Options::new(own.vm.clone(), own.zone.clone(), keys);
-    let address = own.address;
+) -> Result<Member, Error> {
+    let settings = shared.settings.load_full();
+    let options = peer::Options::new(settings.vm.clone(), settings.zone.clone(), keys);
+    let address = settings.peer_addr;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Error::System)?;
     let (tell, started) = oneshot::channel();
-    let (shared, store, own) = (shared.clone(), store.clone(), own.clone());
+    let (shared, store) = (shared.clone(), store.clone());
     let control = async move {
         let (links, inbox) = match peer::Links::bind(address, options).await {
             Ok(bound) => bound,
@@ -158,15 +166,21 @@
                 return;
             }
         };
+        let own = Member {
+            vm: settings.vm.clone(),
+            zone: settings.zone.clone(),
+            address: links.local_addr(),
+            seen_ms: 0,
+        };
         let parts = Parts {
             shared,
             store,
             links,
-            own,
+            own: own.clone(),
         };
         match Actor::spawn(None, Keeper::default(), parts).await {
             Ok((keeper, task)) => {
-                let _ = tell.send(Ok(()));
+                let _ = tell.send(Ok(own));
                 tokio::spawn(pass_on(inbox, keeper));
                 // Ends with the process; a panic of the actor ends its task.
                 let _ = task.await;
