--- a/crates/cloverpost/src/gateway/control.rs
+++ b/crates/cloverpost/src/gateway/control.rs
@@ -21,7 +21,7 @@
 use crate::peer;
 
 /// Time between looks at what is due.
-const TICK: Duration = Duration::from_millis(250);
+const TICK: Duration = Duration::from_millis(125);
 /// Time after the store's return in which upstreams that are missing from it are
 /// still used. Their entries lapse while the store is away; those that live are
 /// back within about two seconds.
@@ -30,10 +30,13 @@
 /// hears nothing from the store is missed by all once in a hundred changes, and
 /// it asks by itself a moment later.
 const TOLD: usize = 3;
+/// Time between questions to peers while the store does not answer.
+const ASK: Duration = Duration::from_millis(250);
 /// Time between checks of connections to upstreams.
 const SWEEP: Duration = Duration::from_secs(2);
-/// Time between messages to the VMs that judge a roll-out.
-const EVIDENCE: Duration = Duration::from_millis(450);
+/// Time between messages to the VMs that judge a roll-out; its last stage lasts a
+/// second, in which they must see what it shows.
+const EVIDENCE: Duration = Duration::from_millis(200);
 /// Time without news from the store after which peers are asked.
 const STALE: Duration = Duration::from_secs(4);
 
@@ -100,6 +103,7 @@
     heard: time::Moment,
     swept: time::Moment,
     shared_evidence: time::Moment,
+    asked: time::Moment,
     is_writing: bool,
     follows_progress: watch::Sender<bool>,
     always: watch::Sender<bool>,
@@ -124,6 +128,7 @@
             heard: time::Moment::default(),
             swept: time::Moment::default(),
             shared_evidence: time::Moment::default(),
+            asked: time::Moment::default(),
             is_writing: false,
             follows_progress: watch::Sender::new(false),
             always: watch::Sender::new(true),
@@ -154,7 +159,10 @@
         state: &mut State<C, S>,
     ) -> Result<(), ActorProcessingErr> {
         match command {
-            Command::Learned { topic, page, whole } => state.learn(topic, *page, whole),
+            Command::Learned { topic, page, whole } => {
+                state.learn(topic, *page, whole);
+                state.drive_rollouts(&myself);
+            }
             Command::Lost { topic, error } => state.lose(topic, &error),
             Command::Peer(incoming) => state.hear(&myself, *incoming),
             Command::Told(image) => state.merge(*image),
@@ -267,7 +275,9 @@
             self.publish();
         }
         let is_stale = now.since(self.heard) > STALE;
-        if is_stale || !self.lost.is_empty() {
+        let asks = is_stale || !self.lost.is_empty();
+        if asks && now.since(self.asked) > ASK {
+            self.asked = now;
             self.ask_a_peer(myself);
         }
         if now.since(self.swept) > SWEEP {
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -14,9 +14,9 @@
 
 /// Answers of the new version without which it is not called good.
 const LEAST_ANSWERS: u64 = 20;
-/// Part of the time that each VM leaves to the one that ranks before it. At 16 s it
-/// is half a second, in which a write is done and read.
-const RANK_WAIT: f64 = 0.03;
+/// Part of the time that each VM leaves to the one that ranks before it. A write that
+/// comes second does no harm and costs a call.
+const RANK_WAIT: f64 = 0.004;
 
 /// A write that moves a roll-out on.
 #[derive(Clone, Debug, PartialEq)]
