perf(cloverpost): two VMs of a zone follow the store and tell the others

Ruled out: longer pauses (bounded by the two seconds in which leavers must be left alone); polls of some VMs that pass on everything (a heartbeat is no change). Change: two VMs of each zone, found by rendezvous, follow; while they hear from the store they say three times a second in which versions their tables last changed, and whoever is behind asks them. A VM that hears no such word for 1.2 s follows the store itself. Tests: watchers; four VMs of a zone, of which the two that follow are stopped.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -136,6 +136,16 @@
 }
 
 impl Versions {
+    /// Whether anything of `other` is newer.
+    #[must_use]
+    pub fn is_older_than(&self, other: &Self) -> bool {
+        self.configuration < other.configuration
+            || self.orders < other.orders
+            || self.upstreams < other.upstreams
+            || self.progress < other.progress
+            || self.members < other.members
+    }
+
     /// Whether `other` has a newer version of anything that operators write. Of
     /// the rest everybody has another version at every moment.
     #[must_use]
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -19,6 +19,7 @@
 mod table;
 mod upstream;
 mod view;
+mod watchers;
 
 pub use configuration::Configuration;
 pub use image::{Image, Page, Rows, Versions};
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -3,6 +3,7 @@
 mod image;
 mod index;
 mod view;
+mod watchers;
 
 use std::time::Duration;
 
--- a/crates/cloverpost/src/gateway/control.rs
+++ b/crates/cloverpost/src/gateway/control.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Member, Page, Upstream, View};
+use cloverpost_core::directory::{Image, Member, Page, Upstream, Versions, View};
 use cloverpost_core::{directory, exposure, id, time};
 use cloverpost_wire::Message;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -32,6 +32,17 @@
 const TOLD: usize = 3;
 /// Time between questions to peers while the store does not answer.
 const ASK: Duration = Duration::from_millis(250);
+/// Time between a watcher's messages to the VMs that listen to it.
+const TELL: Duration = Duration::from_millis(350);
+/// Least time between them while tables change; each may bring a table's worth of
+/// bytes to every listener.
+const TELL_LEAST: Duration = Duration::from_millis(120);
+/// Time without such a message after which a VM follows the store itself: three are
+/// lost, and a change is still in force within two seconds.
+const FRESH: Duration = Duration::from_millis(1200);
+/// Time since the store's last answer within which a watcher counts as hearing from
+/// it. Upstreams write about once a second, and each write is an answer.
+const HEARS: Duration = Duration::from_millis(1800);
 /// Time between checks of connections to upstreams.
 const SWEEP: Duration = Duration::from_secs(2);
 /// Time between messages to the VMs that judge a roll-out; its last stage lasts a
@@ -105,8 +116,13 @@
     shared_evidence: time::Moment,
     asked: time::Moment,
     is_writing: bool,
+    /// Versions in which the tables last changed.
+    changed: Versions,
+    /// When a peer last said that it hears from the store.
+    fresh: Option<time::Moment>,
+    told: time::Moment,
+    follows: watch::Sender<bool>,
     follows_progress: watch::Sender<bool>,
-    always: watch::Sender<bool>,
 }
 
 impl<C: Codec, S: Store> Actor for Keeper<C, S> {
@@ -130,8 +146,11 @@
             shared_evidence: time::Moment::default(),
             asked: time::Moment::default(),
             is_writing: false,
+            changed: Versions::default(),
+            fresh: None,
+            told: time::Moment::default(),
+            follows: watch::Sender::new(true),
             follows_progress: watch::Sender::new(false),
-            always: watch::Sender::new(true),
         };
         for topic in [
             Topic::Operators,
@@ -141,7 +160,7 @@
         ] {
             let wanted = match topic {
                 Topic::Progress => state.follows_progress.subscribe(),
-                _ => state.always.subscribe(),
+                _ => state.follows.subscribe(),
             };
             let metrics = state.parts.shared.metrics.clone();
             let store = state.parts.store.clone();
@@ -197,10 +216,12 @@
             self.note_missing(&before, now);
         }
         if changed {
+            self.changed = self.image.versions();
             self.publish();
             if topic == Topic::Operators {
                 self.tell_peers();
             }
+            self.tell_listeners();
         }
     }
 
@@ -233,7 +254,10 @@
 
     fn merge(&mut self, image: Image) {
         let before = self.image.versions();
+        let upstreams = self.image.upstreams.clone();
         if self.image.merge(image) {
+            self.note_missing(&upstreams, self.now());
+            self.changed = self.image.versions();
             self.parts.shared.metrics.told_by_peers.inc();
             let after = self.image.versions();
             log::info!(before:? = before, after:? = after; "took newer tables from a peer");
@@ -261,10 +285,47 @@
         shared.view.store(Arc::new(view));
         let vms = u32::try_from(self.image.members.rows.len()).unwrap_or(u32::MAX);
         shared.split_budget(vms);
-        self.follows_progress.send_if_modified(|follows| {
-            let open = rollouts::are_open(&self.image);
-            std::mem::replace(follows, open) != open
-        });
+        self.choose_to_follow();
+    }
+
+    /// Follows the store, or leaves that to VMs of the same availability zone for as
+    /// long as they say that they hear from it.
+    fn choose_to_follow(&self) {
+        let own = &self.parts.own;
+        let is_watcher = self.image.members.is_watcher(&own.vm, &own.zone);
+        let now = self.now();
+        let is_told = self.fresh.is_some_and(|fresh| now.since(fresh) < FRESH);
+        let follows = is_watcher || !is_told;
+        let open = follows && rollouts::are_open(&self.image);
+        if set(&self.follows, follows) {
+            log::info!(follows, is_watcher; "following the store changes");
+        }
+        set(&self.follows_progress, open);
+    }
+
+    /// Tells the VMs of the same availability zone that this one hears from the
+    /// store.
+    fn tell_listeners(&mut self) {
+        let own = &self.parts.own;
+        let now = self.now();
+        let hears = self.lost.is_empty() && now.since(self.heard) < HEARS;
+        let is_watcher = self.image.members.is_watcher(&own.vm, &own.zone);
+        if !hears || !is_watcher || now.since(self.told) < TELL_LEAST {
+            return;
+        }
+        self.told = now;
+        let fresh = Message::Directory(directory::Message::Fresh(self.changed));
+        let members = self.image.members.rows.values().map(|row| &row.value);
+        for member in members.filter(|one| one.zone == own.zone && one.vm != own.vm) {
+            if self.image.members.is_watcher(&member.vm, &member.zone) {
+                continue;
+            }
+            let target = peer::Target {
+                vm: member.vm.clone(),
+                address: member.address,
+            };
+            self.send(&target, &fresh);
+        }
     }
 
     fn tick(&mut self, myself: &ActorRef<Command>) {
@@ -280,6 +341,10 @@
             self.asked = now;
             self.ask_a_peer(myself);
         }
+        self.choose_to_follow();
+        if now.since(self.told) > TELL {
+            self.tell_listeners();
+        }
         if now.since(self.swept) > SWEEP {
             self.swept = now;
             let view = self.parts.shared.view.load();
@@ -394,6 +459,20 @@
                     self.ask(myself, target);
                 }
             }
+            directory::Message::Fresh(changed) => {
+                let now = self.now();
+                self.fresh = Some(now);
+                self.heard = now;
+                let is_old = self.image.versions().is_older_than(&changed);
+                if is_old && now.since(self.asked) > TELL_LEAST {
+                    self.asked = now;
+                    let target = peer::Target {
+                        vm: incoming.from.vm,
+                        address: incoming.from.address,
+                    };
+                    self.ask(myself, target);
+                }
+            }
             directory::Message::Ask(versions) => {
                 let newer = Box::new(self.image.newer_than(&versions));
                 incoming
@@ -450,6 +529,11 @@
     }
 }
 
+/// Sets a switch; whether that changed it.
+fn set(switch: &watch::Sender<bool>, on: bool) -> bool {
+    switch.send_if_modified(|is_on| std::mem::replace(is_on, on) != on)
+}
+
 async fn write<S: Store>(store: &S, step: &rollouts::Step) {
     let progress = &step.progress;
     let result = store.write_progress(progress, step.expected).await;
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -57,6 +57,10 @@
     let mut read = Instant::now();
     let mut pause = PAUSE;
     loop {
+        if !*wanted.borrow() {
+            // What it knew is old when it is wanted again.
+            after = None;
+        }
         if wanted.wait_for(|wanted| *wanted).await.is_err() {
             return;
         }
