perf(cloverpost): the retry budget is a sliding window

Change: repeats in ten seconds against first sends in ten seconds, which is how the budget of the fleet is stated; the slack is split by VMs as before. Tests: budget/window, with a property over random traffic.

--- a/crates/cloverpost-core/src/budget/bucket.rs
+++ b/crates/cloverpost-core/src/budget/bucket.rs
@@ -39,11 +39,6 @@
         self.pay_in(options, percent * PARTS_A_PERCENT);
     }
 
-    /// Drops what is over the limit of `options`.
-    pub(super) fn limit_to(&mut self, options: Options) {
-        self.parts = self.parts.min(limit(options));
-    }
-
     /// Takes one retry out, if a whole one is left.
     pub(super) fn retry(&mut self) -> bool {
         let left = self.parts.checked_sub(PARTS);
--- a/crates/cloverpost-core/src/budget/mod.rs
+++ b/crates/cloverpost-core/src/budget/mod.rs
@@ -11,9 +11,11 @@
 mod bucket;
 mod options;
 mod share;
+mod window;
 
 pub use options::Options;
 pub use share::{ParseShare, Share};
+pub use window::Window;
 
 use std::collections::BTreeMap;
 
@@ -41,15 +43,6 @@
         }
     }
 
-    /// Goes on under other settings; what is left of the retries stays, up to the
-    /// new limit.
-    pub fn set_options(&mut self, options: Options) {
-        self.options = options;
-        for bucket in self.buckets.values_mut() {
-            bucket.limit_to(options);
-        }
-    }
-
     /// Notes a first attempt.
     pub fn first(&mut self, class: &id::Class, now: time::Moment) {
         let options = self.options;
--- a/crates/cloverpost-core/tests/behaviour/budget/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/budget/mod.rs
@@ -1,5 +1,7 @@
 //! Retry budgets.
 
+mod window;
+
 use std::time::Duration;
 
 use cloverpost_core::budget::{Budget, Options, Share};
--- a/crates/cloverpost/src/gateway/plain.rs
+++ b/crates/cloverpost/src/gateway/plain.rs
@@ -46,9 +46,7 @@
     let mut dispatch = dispatch(job);
     let mut tried = Vec::new();
     let mut failed = None;
-    shared
-        .budget()
-        .first(&budget_class(job), shared.clock.now());
+    shared.note_first(&job.service);
     loop {
         // With none left, one that failed may do better on another connection.
         let picked = pick::upstream(shared, job, None, &tried)
@@ -93,16 +91,10 @@
     failure: Failure,
 ) -> Next {
     let now = shared.clock.now();
-    let within_budget = || shared.budget().retry(&budget_class(job), now);
+    let within_budget = || shared.may_repeat(&job.service);
     dispatch.failed(failure, now, within_budget)
 }
 
-/// The class under which repeated sends of `job` are counted: its service.
-pub fn budget_class(job: &Job) -> cloverpost_core::id::Class {
-    let class = job.service.as_str().parse();
-    class.expect("names of pools and of classes take the same characters")
-}
-
 /// Reads an answer to its end; whether it is the upstream's failure.
 pub async fn whole<C: Codec>(
     shared: &Shared<C>,
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -31,6 +31,8 @@
     pub session_gap: Duration,
     /// Repeated sends for each request to a service, over all VMs.
     pub retry_share: f64,
+    /// Time over which repeated sends are counted.
+    pub retry_window: Duration,
     /// Repeated sends that all VMs may make on top.
     pub retry_slack: u32,
     /// Share of a service's requests that a version may get before it is trusted.
@@ -90,7 +92,7 @@
 const COUNT: &str = "a whole number";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 12] = [
+const NAMES: [&str; 13] = [
     "vm",
     "zone",
     "caller-addr",
@@ -100,6 +102,7 @@
     "stop-grace-s",
     "session-gap-s",
     "retry-share",
+    "retry-window-s",
     "retry-slack",
     "exposure-share",
     "max-descriptors",
@@ -144,6 +147,7 @@
         let stop_grace = self.seconds("stop-grace-s", 8.0);
         let session_gap = self.seconds("session-gap-s", 5.0);
         let retry_share = self.number("retry-share", 0.2, 10.0, "a number from 0 to 10");
+        let retry_window = self.seconds("retry-window-s", 10.0);
         let retry_slack = self.count("retry-slack", 10);
         let exposure_share = self.number("exposure-share", 0.1, 1.0, SHARE);
         let max_descriptors = self.count("max-descriptors", 1024);
@@ -157,6 +161,7 @@
             stop_grace: stop_grace?,
             session_gap: session_gap?,
             retry_share: retry_share?,
+            retry_window: retry_window?,
             retry_slack: retry_slack?,
             exposure_share: exposure_share?,
             max_descriptors: max_descriptors?,
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -1,6 +1,7 @@
 //! What the parts of a gateway share.
 
-use std::sync::atomic::{AtomicI64, Ordering};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
@@ -50,7 +51,10 @@
     balance: Mutex<balance::Balance>,
     sessions: Mutex<exposure::Sessions>,
     pins: Mutex<exposure::Pins>,
-    budget: Mutex<budget::Budget>,
+    /// What may be sent again, by service.
+    budgets: Mutex<HashMap<id::Pool, budget::Window>>,
+    /// VMs that share the fleet's budget.
+    vms: AtomicU32,
     evidence: Mutex<Evidence>,
     /// The store's clock less this VM's, in milliseconds.
     store_offset: AtomicI64,
@@ -61,7 +65,6 @@
     #[must_use]
     pub fn new(settings: Settings, codec: C) -> Arc<Self> {
         let clock = Clock::start();
-        let budget = budget::Budget::new(budget_options(&settings, 1));
         let source = Source {
             vm: settings.vm.clone(),
             // A restarted process counts from zero, so its counts need a name of
@@ -79,7 +82,8 @@
             balance: Mutex::default(),
             sessions: Mutex::default(),
             pins: Mutex::default(),
-            budget: Mutex::new(budget),
+            budgets: Mutex::default(),
+            vms: AtomicU32::new(1),
             evidence: Mutex::new(Evidence::new(source)),
             store_offset: AtomicI64::new(0),
         })
@@ -112,9 +116,28 @@
         )
     }
 
-    /// What may be sent again.
-    pub fn budget(&self) -> MutexGuard<'_, budget::Budget> {
-        lock(&self.budget)
+    /// Notes the first send of a request to `service`.
+    pub fn note_first(&self, service: &id::Pool) {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.first(now));
+    }
+
+    /// Takes one repeated send to `service` from the budget; `false` if none is left.
+    pub fn may_repeat(&self, service: &id::Pool) -> bool {
+        let now = self.clock.now();
+        self.with_budget(service, |budget| budget.repeat(now))
+    }
+
+    fn with_budget<T>(&self, service: &id::Pool, act: impl FnOnce(&mut budget::Window) -> T) -> T {
+        let mut budgets = lock(&self.budgets);
+        if let Some(budget) = budgets.get_mut(service) {
+            return act(budget);
+        }
+        let settings = self.settings.load();
+        let share = settings.retry_share * BUDGET_PART;
+        let slack = slack(&settings, self.vms.load(Ordering::Relaxed));
+        let budget = budget::Window::new(share, slack, settings.retry_window);
+        act(budgets.entry(service.clone()).or_insert(budget))
     }
 
     /// How the versions of services answer.
@@ -124,8 +147,11 @@
 
     /// Splits the fleet's retry budget among `vms`.
     pub fn split_budget(&self, vms: u32) {
-        let options = budget_options(&self.settings.load(), vms);
-        self.budget().set_options(options);
+        self.vms.store(vms, Ordering::Relaxed);
+        let slack = slack(&self.settings.load(), vms);
+        for budget in lock(&self.budgets).values_mut() {
+            budget.set_slack(slack);
+        }
     }
 
     /// The store's clock, in milliseconds, as far as this VM knows it.
@@ -147,17 +173,9 @@
     }
 }
 
-fn budget_options(settings: &Settings, vms: u32) -> budget::Options {
-    let percent = (settings.retry_share * BUDGET_PART * 100.0).clamp(0.0, 100.0);
-    let slack = f64::from(settings.retry_slack) * BUDGET_PART / f64::from(vms.max(1));
-    // Both were clamped to the range of their types.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let (percent, burst) = (percent as u8, slack.max(1.0) as u32);
-    budget::Options {
-        share: budget::Share::from_percent(percent),
-        floor: 0,
-        burst,
-    }
+/// What each of `vms` may send again on top of its share.
+fn slack(settings: &Settings, vms: u32) -> f64 {
+    f64::from(settings.retry_slack) * BUDGET_PART / f64::from(vms.max(1))
 }
 
 fn millis(now: time::Moment) -> u64 {
--- a/crates/cloverpost/src/gateway/stream.rs
+++ b/crates/cloverpost/src/gateway/stream.rs
@@ -86,9 +86,7 @@
     let mut failing = Vec::new();
     let mut failed = None;
     let mut model = job.route.models.first().cloned();
-    shared
-        .budget()
-        .first(&plain::budget_class(&job), shared.clock.now());
+    shared.note_first(&job.service);
     loop {
         // With none left, one that failed may do better on another connection, and one
         // that did not may be asked for a larger model's answer.
@@ -152,7 +150,7 @@
     if !is_poor || !is_early || !dispatch.has_run_left() {
         return None;
     }
-    if !shared.budget().retry(&plain::budget_class(job), now) {
+    if !shared.may_repeat(&job.service) {
         return None;
     }
     shared
