perf(cloverpost-core): the choice of an upstream is stated in seconds

The choice counted requests in flight, so a prompt of 50,000 tokens that has yet to be read weighed as little as a stream that runs, and like upstreams were taken in the order of the list. Change: prompts whose answers have not begun weigh by the seconds that their model takes to read them, which is learnt from answers; what an upstream remembers, its distance and its failures are in seconds too; like ones are drawn. Tests: balance (14), the rate among them.

--- a/crates/cloverpost-core/src/balance/load.rs
+++ b/crates/cloverpost-core/src/balance/load.rs
@@ -18,6 +18,8 @@
 pub struct Load {
     /// Requests of this VM that run there.
     pub in_flight: u32,
+    /// Seconds of work there whose answers have not begun.
+    pub(super) pending: f64,
     /// Mean time to the start of an answer, in seconds.
     pub(super) latency: Option<f64>,
     /// Share of failed answers, lately.
@@ -37,6 +39,7 @@
     pub(super) const fn idle() -> Self {
         Self {
             in_flight: 0,
+            pending: 0.0,
             latency: None,
             failing: 0.0,
             heard: time::Moment::from_millis(0),
--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -1,20 +1,23 @@
 //! Which upstream of a pool gets a request.
 //!
-//! A [`Balance`] knows what this VM has in flight on each upstream and how its
-//! answers went. It prefers the VM's own availability zone, since bytes between
-//! zones cost money, and the upstreams that are likely to hold the start of the
-//! prompt; load, slowness and failures weigh against both. An upstream that
-//! falls silent or refuses connections is left out for a while, then tried with
-//! one request.
+//! A [`Balance`] estimates, for each upstream, how long a request would wait there:
+//! the prompts that this VM has sent and that have not been answered yet, what the
+//! upstream would have to read itself because it does not remember the start of
+//! the prompt, how many requests run there, and how slow it is. The price of
+//! another availability zone and of failures is stated in seconds too, and the
+//! lowest sum wins. An upstream that falls silent or refuses connections is left
+//! out for a while, then tried with one request.
 
 mod health;
 mod load;
 mod options;
+mod rate;
 mod want;
 
 pub use health::Event;
 pub use load::Load;
 pub use options::Options;
+pub use rate::Rate;
 pub use want::Want;
 
 use std::collections::HashMap;
@@ -66,11 +69,10 @@
             .collect();
         let sound = || candidates.iter().filter(|(_, load)| load.takes(now));
         let typical = Typical::of(sound().map(|(_, load)| *load));
-        let best = sound().min_by(|one, other| {
-            let one = self.score(one.0, one.1, want, &typical, &candidates);
-            let other = self.score(other.0, other.1, want, &typical, &candidates);
-            one.total_cmp(&other)
-        });
+        let homes = homes(&candidates, want);
+        let scored =
+            sound().map(|(one, load)| (*one, self.score(one, load, want, &typical, &homes)));
+        let best = scored.min_by(|(_, one), (_, other)| one.total_cmp(other));
         // With every upstream under suspicion the suspicion is worth little, and
         // a refusal would be sure to harm the caller.
         let least = || {
@@ -78,7 +80,8 @@
                 .iter()
                 .min_by_key(|(_, load)| load.shunned_until())
         };
-        best.or_else(least).map(|(upstream, _)| *upstream)
+        best.map(|(upstream, _)| upstream)
+            .or_else(|| least().map(|(upstream, _)| *upstream))
     }
 
     /// Places that are taken and that there are on `upstreams`, as far as this VM
@@ -93,15 +96,29 @@
         })
     }
 
-    /// Counts a request that is sent to `upstream`.
-    pub fn start(&mut self, upstream: &id::Upstream) {
-        self.loads.entry(upstream.clone()).or_default().in_flight += 1;
+    /// Counts a request that is sent to `upstream` and keeps it busy for `work`
+    /// seconds before its answer begins; whether nothing else waits there.
+    pub fn start(&mut self, upstream: &id::Upstream, work: f64) -> bool {
+        let load = self.loads.entry(upstream.clone()).or_default();
+        load.in_flight += 1;
+        load.pending += work;
+        load.in_flight == 1
+    }
+
+    /// Takes off `work` seconds whose answer has begun or will not.
+    pub fn begin(&mut self, upstream: &id::Upstream, work: f64) {
+        if let Some(load) = self.loads.get_mut(upstream) {
+            load.pending = (load.pending - work).max(0.0);
+        }
     }
 
     /// Counts a request that no longer runs on `upstream`.
     pub fn finish(&mut self, upstream: &id::Upstream) {
         if let Some(load) = self.loads.get_mut(upstream) {
             load.in_flight = load.in_flight.saturating_sub(1);
+            if load.in_flight == 0 {
+                load.pending = 0.0;
+            }
         }
     }
 
@@ -129,35 +146,52 @@
         self.loads.get(upstream).unwrap_or(&IDLE)
     }
 
+    /// Seconds that a request would lose on `upstream`.
     fn score(
         &self,
         upstream: &directory::Upstream,
         load: &Load,
         want: &Want<'_>,
         typical: &Typical,
-        candidates: &[(&Arc<directory::Upstream>, &Load)],
+        homes: &[&id::Upstream],
     ) -> f64 {
         let options = &self.options;
         let slowness = load.slowness(typical.latency);
-        let slots = f64::from(upstream.slots.max(1));
-        let busy = f64::from(load.in_flight + 1) / slots * slowness;
-        let far = if upstream.zone == *want.zone {
-            0.0
+        let remembers = homes.contains(&&upstream.id);
+        let work = if remembers {
+            want.work - want.shared
         } else {
-            options.far
+            want.work
         };
-        let rank = want.affinity.map_or(0.0, |affinity| {
-            let own = affinity.score(want::key(&upstream.id));
-            let better = candidates
-                .iter()
-                .filter(|(one, _)| one.zone == upstream.zone)
-                .filter(|(one, _)| affinity.score(want::key(&one.id)) > own);
-            let rank = u32::try_from(better.count()).unwrap_or(u32::MAX);
-            f64::from(rank.min(options.ranks)) * options.rank
-        });
+        let full = f64::from(load.in_flight + 1) / f64::from(upstream.slots.max(1));
+        let running = full * options.running + (full - options.roomy).max(0.0) * options.full;
+        let is_far = upstream.zone != *want.zone;
+        let far = if is_far { options.far } else { 0.0 };
         let failing = (load.failing - typical.failing).max(0.0) * options.failing;
-        busy + far + rank + failing + (slowness - 1.0).max(0.0) * options.slow
+        let slow = (slowness - 1.0).max(0.0) * options.slow;
+        let draw = want::spread(want.draw, &upstream.id) * options.spread;
+        (load.pending + work + running) * slowness + far + failing + slow + draw
+    }
+}
+
+/// The upstreams of each zone that are likely to remember the start of the prompt:
+/// those with the highest rendezvous score.
+fn homes<'a>(
+    candidates: &[(&'a Arc<directory::Upstream>, &Load)],
+    want: &Want<'_>,
+) -> Vec<&'a id::Upstream> {
+    let Some(affinity) = want.affinity else {
+        return Vec::new();
+    };
+    let mut best = HashMap::<&id::AvailabilityZone, (u64, &id::Upstream)>::new();
+    for (upstream, _) in candidates {
+        let score = affinity.score(want::key(&upstream.id));
+        let home = best.entry(&upstream.zone).or_insert((score, &upstream.id));
+        if score > home.0 {
+            *home = (score, &upstream.id);
+        }
     }
+    best.into_values().map(|(_, id)| id).collect()
 }
 
 /// What is usual among the upstreams of a pool.
--- a/crates/cloverpost-core/src/balance/options.rs
+++ b/crates/cloverpost-core/src/balance/options.rs
@@ -2,20 +2,25 @@
 
 use std::time::Duration;
 
-/// Weights are in shares of an upstream's places: 1 is a whole upstream's worth.
+/// Weights are in seconds that a request would rather wait.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
-    /// Weight against an upstream of another availability zone. A prompt of 12 kB
-    /// costs a thirtieth of its worth there, less than a second of waiting.
+    /// Against an upstream of another availability zone: a prompt of 12 kB costs a
+    /// thirtieth of its worth there, and a second late costs a third.
     pub far: f64,
-    /// Weight against each rank down from the upstream that holds the prompt.
-    pub rank: f64,
-    /// Ranks that are told apart.
-    pub ranks: u32,
-    /// Weight against a share of failed answers above the usual.
+    /// Against an upstream all of whose places are taken.
+    pub running: f64,
+    /// Share of the places from which on an upstream counts as filling up.
+    pub roomy: f64,
+    /// Against each upstream's worth of requests above that.
+    pub full: f64,
+    /// Against a share of failed answers above the usual.
     pub failing: f64,
-    /// Weight against each multiple of the usual latency.
+    /// Against each multiple of the usual latency.
     pub slow: f64,
+    /// Drawn anew for each request, so that VMs that know nothing of each other do
+    /// not all take the first of several like ones.
+    pub spread: f64,
     /// Failures in a row after which an upstream is left out.
     pub failures: u32,
     /// Time for which it is left out at first; doubled each time.
@@ -27,11 +32,13 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            far: 0.4,
-            rank: 0.04,
-            ranks: 3,
+            far: 0.2,
+            running: 0.3,
+            roomy: 0.7,
+            full: 2.0,
             failing: 2.0,
-            slow: 0.15,
+            slow: 0.05,
+            spread: 0.005,
             failures: 2,
             shun: Duration::from_millis(400),
             shun_max: Duration::from_secs(3),
--- a/crates/cloverpost-core/tests/behaviour/balance/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::balance::{Balance, Event, Options, Want};
+use cloverpost_core::balance::{Balance, Event, Options, Rate, Want};
 use cloverpost_core::{choice, directory, id, time};
 
 fn upstream(id: &str, zone: &str) -> Arc<directory::Upstream> {
@@ -44,7 +44,10 @@
         let want = Want {
             zone: &zone,
             affinity,
+            work: 0.2,
+            shared: 0.1,
             tried,
+            draw: 7,
         };
         let chosen = self.balance.choose(self.upstreams.iter(), &want, self.now);
         chosen.map(|one| one.id.to_string())
@@ -69,12 +72,75 @@
 fn a_full_own_zone_spills_over() {
     let mut scene = Scene::new(&["a", "b"]);
     let own = scene.upstreams[0].id.clone();
-    (0..6).for_each(|_| scene.balance.start(&own));
+    for _ in 0..6 {
+        scene.balance.start(&own, 0.0);
+    }
     assert_eq!(scene.choose(), "i-1");
     (0..6).for_each(|_| scene.balance.finish(&own));
     assert_eq!(scene.choose(), "i-0");
 }
 
+#[test]
+fn prompts_that_wait_to_be_read_weigh_more_than_answers_that_run() {
+    // One engine has a long prompt before it, another runs three streams. A request sent
+    // behind the prompt waits for all of it.
+    let mut scene = Scene::new(&["a", "a"]);
+    let (long, busy) = (scene.upstreams[0].id.clone(), scene.upstreams[1].id.clone());
+    scene.balance.start(&long, 1.2);
+    (0..3).for_each(|_| {
+        scene.balance.start(&busy, 0.1);
+        scene.balance.begin(&busy, 0.1);
+    });
+    assert_eq!(scene.choose(), "i-1");
+    scene.balance.begin(&long, 1.2);
+    assert_eq!(scene.choose(), "i-0");
+}
+
+#[test]
+fn a_prompt_leaves_its_upstream_only_for_a_wait_that_costs_more() {
+    let mut scene = Scene::new(&["a", "a", "a", "a"]);
+    let affinity = Some(choice::Affinity::of(b"x"));
+    let home = scene.choose_for(affinity, &[]).unwrap();
+    let id: id::Upstream = home.parse().unwrap();
+    scene.balance.start(&id, 0.01);
+    assert_eq!(scene.choose_for(affinity, &[]).unwrap(), home);
+    scene.balance.start(&id, 0.5);
+    assert_ne!(scene.choose_for(affinity, &[]).unwrap(), home);
+}
+
+#[test]
+fn like_upstreams_are_drawn() {
+    let scene = Scene::new(&["a", "a", "a", "a"]);
+    let zone = "a".parse().unwrap();
+    let chosen = (0..50).map(|draw| {
+        let want = Want {
+            zone: &zone,
+            affinity: None,
+            work: 0.0,
+            shared: 0.0,
+            tried: &[],
+            draw,
+        };
+        let chosen = scene
+            .balance
+            .choose(scene.upstreams.iter(), &want, scene.now);
+        chosen.unwrap().id.to_string()
+    });
+    let chosen: std::collections::BTreeSet<_> = chosen.collect();
+    assert_eq!(chosen.len(), 4);
+}
+
+#[test]
+fn the_rate_of_a_model_is_learnt_from_its_answers() {
+    let mut rate = Rate::default();
+    let model = "large".parse().unwrap();
+    for _ in 0..200 {
+        rate.learn(Some(&model), 10_000, 0.05 + 0.2);
+    }
+    let work = rate.work(Some(&model), 5_000);
+    assert!((0.09..0.11).contains(&work), "{work}");
+}
+
 #[test]
 fn a_prompt_finds_its_upstream_again() {
     let scene = Scene::new(&["a", "a", "a", "a"]);
@@ -105,7 +171,7 @@
     assert_eq!(scene.choose(), "i-1");
     scene.now = scene.now + Duration::from_secs(1);
     assert_eq!(scene.choose(), "i-0");
-    scene.balance.start(&"i-0".parse().unwrap());
+    scene.balance.start(&"i-0".parse().unwrap(), 0.0);
     assert_eq!(scene.choose(), "i-1");
 }
 
@@ -146,7 +212,7 @@
     }
     for number in 1..3 {
         let id = scene.upstreams[number].id.clone();
-        scene.balance.start(&id);
+        scene.balance.start(&id, 0.05);
     }
     assert_ne!(scene.choose(), "i-0");
 }
@@ -161,7 +227,7 @@
     }
     for number in 1..3 {
         let id = scene.upstreams[number].id.clone();
-        scene.balance.start(&id);
+        scene.balance.start(&id, 0.05);
     }
     assert_ne!(scene.choose(), "i-0");
 }
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -59,13 +59,19 @@
     upstream: &Arc<directory::Upstream>,
     terms: Terms<'_>,
 ) -> Result<Begun<C>, Failure> {
-    let place = Place::take(shared.clone(), upstream.clone());
+    let work = work(shared, job, terms.model);
+    let place = Place::take(shared.clone(), upstream.clone(), work);
     let sent = shared.clock.now();
     let result = exchange(shared, job, place, terms).await;
     note(shared, job, upstream, terms, sent, &result);
     result
 }
 
+/// Seconds that an upstream takes to read the job's prompt.
+fn work<C: Codec>(shared: &Shared<C>, job: &Job, model: Option<&id::Model>) -> f64 {
+    shared.rate().work(model, job.asked.prompt_tokens())
+}
+
 async fn exchange<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
@@ -114,7 +120,13 @@
         Verdict::Failed => (true, None),
         Verdict::Succeeded { confidence } => (false, confidence),
     };
-    place.note(Event::Began(shared.clock.now().since(sent)));
+    let took = shared.clock.now().since(sent);
+    place.begin();
+    place.note(Event::Began(took));
+    if place.is_first && terms.last_event.is_none() {
+        let tokens = job.asked.prompt_tokens();
+        shared.rate().learn(terms.model, tokens, took.as_secs_f64());
+    }
     Ok(Begun {
         place,
         connection,
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -63,6 +63,20 @@
 }
 
 impl Asked {
+    /// Tokens of the prompt; 0 if it has none.
+    #[must_use]
+    pub fn prompt_tokens(&self) -> u32 {
+        let parts = self.prompt.iter().map(|part| part.tokens).sum();
+        self.tokens.map_or(parts, |tokens| tokens.prompt)
+    }
+
+    /// Tokens at the start of the prompt that other requests share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        let shared = self.prompt.len().saturating_sub(1);
+        self.prompt[..shared].iter().map(|part| part.tokens).sum()
+    }
+
     /// What an upstream may remember of an earlier request for `model`: the
     /// longest start of the prompt that others share. The last part is the
     /// request's own, unless it is the only one.
--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -39,11 +39,16 @@
     let pool = view.pools.get(&job.service)?;
     let side = side(shared, job, pool);
     let settings = shared.settings.load();
+    let rate = shared.rate();
     let want = Want {
         zone: &settings.zone,
         affinity: job.asked.affinity(model),
+        work: rate.work(model, job.asked.prompt_tokens()),
+        shared: rate.work(model, job.asked.shared_tokens()),
         tried,
+        draw: rand::random(),
     };
+    drop(rate);
     let now = shared.clock.now();
     let usable = pool.upstreams.iter().filter(|one| side.takes(one));
     let chosen = shared.balance().choose(usable, &want, now).cloned()?;
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -49,6 +49,7 @@
     /// How far a planned stop is.
     pub phase: watch::Sender<Phase>,
     balance: Mutex<balance::Balance>,
+    rate: Mutex<balance::Rate>,
     sessions: Mutex<exposure::Sessions>,
     pins: Mutex<exposure::Pins>,
     /// What may be sent again, by service.
@@ -80,6 +81,7 @@
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Serving),
             balance: Mutex::default(),
+            rate: Mutex::default(),
             sessions: Mutex::default(),
             pins: Mutex::default(),
             budgets: Mutex::default(),
@@ -94,6 +96,11 @@
         lock(&self.balance)
     }
 
+    /// How long models take to read prompts.
+    pub fn rate(&self) -> MutexGuard<'_, balance::Rate> {
+        lock(&self.rate)
+    }
+
     /// Versions of the sessions that were served lately.
     pub fn sessions(&self) -> MutexGuard<'_, exposure::Sessions> {
         lock(&self.sessions)
