feat(cloverpost): all faults of settings in one answer; metrics on an address of their own

Change: settings collect their faults; the gateway serves metrics on metrics-addr too. Tests: both settings, all faults at once; the splitter of events, with a property.

--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -16,7 +16,7 @@
 mod attempt;
 pub mod codec;
 pub mod control;
-mod events;
+pub mod events;
 mod evidence;
 mod follow;
 mod job;
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -21,6 +21,8 @@
     pub caller_addr: SocketAddr,
     /// Where readiness and metrics are served.
     pub operator_addr: SocketAddr,
+    /// Where metrics are served besides.
+    pub metrics_addr: Option<SocketAddr>,
     /// Where other VMs connect.
     pub peer_addr: SocketAddr,
     /// Where the store listens.
@@ -92,11 +94,12 @@
 const COUNT: &str = "a whole number";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 13] = [
+const NAMES: [&str; 14] = [
     "vm",
     "zone",
     "caller-addr",
     "operator-addr",
+    "metrics-addr",
     "peer-addr",
     "store-addr",
     "stop-grace-s",
@@ -142,6 +145,7 @@
         let zone = self.text("zone", NAME);
         let caller_addr = self.text("caller-addr", ADDRESS);
         let operator_addr = self.text("operator-addr", ADDRESS);
+        let metrics_addr = self.optional("metrics-addr", ADDRESS);
         let peer_addr = self.text("peer-addr", ADDRESS);
         let store_addr = self.text("store-addr", ADDRESS);
         let stop_grace = self.seconds("stop-grace-s", 8.0);
@@ -156,6 +160,7 @@
             zone: zone?,
             caller_addr: caller_addr?,
             operator_addr: operator_addr?,
+            metrics_addr,
             peer_addr: peer_addr?,
             store_addr: store_addr?,
             stop_grace: stop_grace?,
@@ -177,6 +182,12 @@
         self.or_wrong(parsed, name, value, form)
     }
 
+    fn optional<T: FromStr>(&mut self, name: &'static str, form: &'static str) -> Option<T> {
+        self.table
+            .contains_key(name)
+            .then(|| self.text(name, form))?
+    }
+
     fn number(
         &mut self,
         name: &'static str,
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -77,6 +77,10 @@
         let operators_addr = operators.local_addr().map_err(Error::System)?;
         let shared = Shared::new(settings, codec);
         tokio::spawn(ready::run(operators, shared.clone()));
+        if let Some(address) = shared.settings.load().metrics_addr {
+            let metrics = bind("metrics-addr", address).await?;
+            tokio::spawn(ready::run(metrics, shared.clone()));
+        }
         if let Some(file) = file {
             tokio::spawn(reload::run(file, shared.clone()));
         }
--- a/crates/cloverpost/src/settings/mod.rs
+++ b/crates/cloverpost/src/settings/mod.rs
@@ -1,8 +1,8 @@
 //! Checked settings.
 //!
 //! A setting comes from a flag, else from the environment, else from its
-//! default. [`Settings::read`] checks every one and reports the first that is
-//! wrong with its flag, its value and the accepted form.
+//! default. [`Settings::read`] checks every one and reports all that are missing or
+//! wrong, each with its flag, its value and the accepted form.
 
 mod catalogue;
 mod given;
@@ -15,7 +15,7 @@
 pub use given::Given;
 pub use limits::Limits;
 pub use operator::Operator;
-pub use read::Error;
+pub use read::{Error, Errors};
 pub use secret::Secret;
 
 use std::net::SocketAddr;
--- a/crates/cloverpost/src/settings/read.rs
+++ b/crates/cloverpost/src/settings/read.rs
@@ -40,46 +40,96 @@
 
 impl std::error::Error for Error {}
 
+/// Everything that is missing or wrong, in the order of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Errors(pub Vec<Error>);
+
+impl fmt::Display for Errors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<_> = self.0.iter().map(Error::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl std::error::Error for Errors {}
+
+impl Errors {
+    /// The value; its error is kept.
+    fn take<T>(&mut self, result: Result<T, Error>) -> Option<T> {
+        result.map_err(|error| self.0.push(error)).ok()
+    }
+}
+
 impl Settings {
-    /// Reads every setting from `given` and checks it.
-    pub fn read(given: &Given) -> Result<Self, Error> {
-        Ok(Self {
-            vm: one(given, &catalogue::VM_ID)?,
-            zone: one(given, &catalogue::ZONE)?,
-            region: one(given, &catalogue::REGION)?,
-            caller_addr: one(given, &catalogue::CALLER_ADDR)?,
-            operator_addr: one(given, &catalogue::OPERATOR_ADDR)?,
-            peer_addr: one(given, &catalogue::PEER_ADDR)?,
-            platform_url: url(given, &catalogue::PLATFORM_URL)?,
-            peer_keys: secrets(given, &catalogue::PEER_KEY, &catalogue::PEER_KEY_PREVIOUS)?,
-            session_keys: secrets(
-                given,
-                &catalogue::SESSION_KEY,
-                &catalogue::SESSION_KEY_PREVIOUS,
-            )?,
-            operators: operators(given, &catalogue::OPERATOR_KEYS)?,
-            log_format: one(given, &catalogue::LOG_FORMAT)?,
-            log_level: one(given, &catalogue::LOG_LEVEL)?,
-            limits: limits(given)?,
-            drain_delay: duration(given, &catalogue::DRAIN_DELAY)?,
-            drain_limit: duration(given, &catalogue::DRAIN_LIMIT)?,
-            platform_timeout: duration(given, &catalogue::PLATFORM_TIMEOUT)?,
+    /// Reads every setting from `given` and checks it. All faults are told at once:
+    /// an operator who mends one at a time restarts as often as there are faults.
+    pub fn read(given: &Given) -> Result<Self, Errors> {
+        let mut errors = Errors(Vec::new());
+        let settings = Self::read_all(given, &mut errors);
+        settings.filter(|_| errors.0.is_empty()).ok_or(errors)
+    }
+
+    fn read_all(given: &Given, errors: &mut Errors) -> Option<Self> {
+        let vm = errors.take(one(given, &catalogue::VM_ID));
+        let zone = errors.take(one(given, &catalogue::ZONE));
+        let region = errors.take(one(given, &catalogue::REGION));
+        let caller_addr = errors.take(one(given, &catalogue::CALLER_ADDR));
+        let operator_addr = errors.take(one(given, &catalogue::OPERATOR_ADDR));
+        let peer_addr = errors.take(one(given, &catalogue::PEER_ADDR));
+        let platform_url = errors.take(url(given, &catalogue::PLATFORM_URL));
+        let peer = (&catalogue::PEER_KEY, &catalogue::PEER_KEY_PREVIOUS);
+        let peer_keys = errors.take(secrets(given, peer.0, peer.1));
+        let session = (&catalogue::SESSION_KEY, &catalogue::SESSION_KEY_PREVIOUS);
+        let session_keys = errors.take(secrets(given, session.0, session.1));
+        let operators = errors.take(operators(given, &catalogue::OPERATOR_KEYS));
+        let log_format = errors.take(one(given, &catalogue::LOG_FORMAT));
+        let log_level = errors.take(one(given, &catalogue::LOG_LEVEL));
+        let limits = limits(given, errors);
+        let drain_delay = errors.take(duration(given, &catalogue::DRAIN_DELAY));
+        let drain_limit = errors.take(duration(given, &catalogue::DRAIN_LIMIT));
+        let platform_timeout = errors.take(duration(given, &catalogue::PLATFORM_TIMEOUT));
+        Some(Self {
+            vm: vm?,
+            zone: zone?,
+            region: region?,
+            caller_addr: caller_addr?,
+            operator_addr: operator_addr?,
+            peer_addr: peer_addr?,
+            platform_url: platform_url?,
+            peer_keys: peer_keys?,
+            session_keys: session_keys?,
+            operators: operators?,
+            log_format: log_format?,
+            log_level: log_level?,
+            limits: limits?,
+            drain_delay: drain_delay?,
+            drain_limit: drain_limit?,
+            platform_timeout: platform_timeout?,
         })
     }
 }
 
-fn limits(given: &Given) -> Result<Limits, Error> {
+fn limits(given: &Given, errors: &mut Errors) -> Option<Limits> {
+    let max_body = errors.take(positive(given, &catalogue::MAX_BODY));
+    let max_headers = errors.take(headers(given));
+    let header_timeout = errors.take(duration(given, &catalogue::HEADER_TIMEOUT));
+    let body_timeout = errors.take(duration(given, &catalogue::BODY_TIMEOUT));
+    let max_attempts = errors.take(positive(given, &catalogue::MAX_ATTEMPTS));
+    Some(Limits {
+        max_body: max_body?,
+        max_headers: max_headers?,
+        header_timeout: header_timeout?,
+        body_timeout: body_timeout?,
+        max_attempts: max_attempts?,
+    })
+}
+
+fn headers(given: &Given) -> Result<usize, Error> {
     let max_headers: usize = one(given, &catalogue::MAX_HEADERS)?;
     if max_headers < MIN_HEADERS {
         return Err(wrong(&catalogue::MAX_HEADERS, &max_headers.to_string()));
     }
-    Ok(Limits {
-        max_body: positive(given, &catalogue::MAX_BODY)?,
-        max_headers,
-        header_timeout: duration(given, &catalogue::HEADER_TIMEOUT)?,
-        body_timeout: duration(given, &catalogue::BODY_TIMEOUT)?,
-        max_attempts: positive(given, &catalogue::MAX_ATTEMPTS)?,
-    })
+    Ok(max_headers)
 }
 
 fn text(given: &Given, setting: &Setting) -> Result<String, Error> {
--- /dev/null
+++ b/crates/cloverpost/tests/behaviour/gateway/events.rs
@@ -0,0 +1,70 @@
+//! Events of a stream, as bytes.
+
+use cloverpost::gateway::events::Splitter;
+use proptest::prelude::*;
+
+#[test]
+fn an_event_is_passed_on_when_it_is_whole() {
+    let mut splitter = Splitter::default();
+    assert_eq!(splitter.push(b"id: 1\nda").unwrap(), "");
+    assert_eq!(
+        splitter.push(b"ta: a\n\nid: 2\n").unwrap(),
+        "id: 1\ndata: a\n\n"
+    );
+    assert_eq!(splitter.last_id(), Some("1"));
+    assert!(splitter.is_amid_event());
+}
+
+#[test]
+fn a_part_is_forgotten_when_another_run_goes_on() {
+    // The upstream dies after half an event. What the next one sends must not be read as
+    // the rest of it.
+    let mut splitter = Splitter::default();
+    splitter.push(b"id: 1\n\nid: 2\nda").unwrap();
+    splitter.discard_part();
+    assert_eq!(
+        splitter.push(b"id: 2\ndata: b\n\n").unwrap(),
+        "id: 2\ndata: b\n\n"
+    );
+}
+
+#[test]
+fn lines_may_end_in_two_bytes() {
+    let mut splitter = Splitter::default();
+    assert_eq!(
+        splitter.push(b"id: 7\r\ndata: a\r\n\r\n").unwrap(),
+        "id: 7\r\ndata: a\r\n\r\n"
+    );
+    assert_eq!(splitter.last_id(), Some("7"));
+}
+
+#[test]
+fn an_event_without_end_is_given_up() {
+    let mut splitter = Splitter::default();
+    let line = vec![b'x'; 600 * 1024];
+    assert!(splitter.push(&line).is_ok());
+    assert!(splitter.push(&line).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
+
+    // However the bytes are cut on the way, the events come out whole and in order.
+    #[test]
+    fn cuts_on_the_way_change_nothing(cuts in prop::collection::vec(any::<prop::sample::Index>(), 0..12)) {
+        let text = b"id: 1\ndata: a\n\n: note\n\nid: 2\ndata: b\ndata: c\n\nid: 3\n\n";
+        let mut places: Vec<_> = cuts.iter().map(|cut| cut.index(text.len())).collect();
+        places.extend([0, text.len()]);
+        places.sort_unstable();
+        let mut splitter = Splitter::default();
+        let mut passed = Vec::new();
+        for ends in places.windows(2) {
+            let events = splitter.push(&text[ends[0]..ends[1]]).unwrap();
+            prop_assert!(events.is_empty() || events.ends_with(b"\n\n"));
+            passed.extend_from_slice(&events);
+        }
+        prop_assert_eq!(&passed[..], &text[..]);
+        prop_assert_eq!(splitter.last_id(), Some("3"));
+        prop_assert!(!splitter.is_amid_event());
+    }
+}
--- /dev/null
+++ b/crates/cloverpost/tests/behaviour/gateway/mod.rs
@@ -0,0 +1,4 @@
+//! The gateway's parts that need no sockets.
+
+mod events;
+mod settings;
--- /dev/null
+++ b/crates/cloverpost/tests/behaviour/gateway/settings.rs
@@ -0,0 +1,69 @@
+//! The gateway's settings file.
+
+use std::time::Duration;
+
+use cloverpost::gateway::Settings;
+
+const WHOLE: &str = r#"
+vm = "vm-1"
+zone = "a"
+caller-addr = "10.0.0.1:80"
+operator-addr = "10.0.0.1:81"
+peer-addr = "10.0.0.1:82"
+store-addr = "10.0.0.9:83"
+"#;
+
+#[test]
+fn what_is_not_given_has_a_default() {
+    let settings: Settings = WHOLE.parse().unwrap();
+    assert_eq!(settings.stop_grace, Duration::from_secs(8));
+    assert_eq!(settings.retry_window, Duration::from_secs(10));
+}
+
+#[test]
+fn whole_numbers_and_fractions_are_taken() {
+    let text = format!("{WHOLE}stop-grace-s = 6\nsession-gap-s = 8.5\nexposure-share = 0.0975\n");
+    let settings: Settings = text.parse().unwrap();
+    assert_eq!(settings.stop_grace, Duration::from_secs(6));
+    assert_eq!(settings.session_gap, Duration::from_millis(8_500));
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let text = r#"
+        vm = "a b"
+        caller-addr = "not-an-address"
+        stop-grace-s = -1
+        exposure-share = 2
+        retry-slack = "many"
+        a-name-to-come = 1
+    "#;
+    let told = text.parse::<Settings>().unwrap_err().to_string();
+    let named = [
+        "a-name-to-come: no setting",
+        "vm: `a b`",
+        "zone is required",
+        "caller-addr: `not-an-address`",
+        "operator-addr is required",
+        "peer-addr is required",
+        "store-addr is required",
+        "stop-grace-s: `-1`",
+        "exposure-share: `2`",
+        "retry-slack: `many`",
+    ];
+    for name in named {
+        assert!(told.contains(name), "{name} in {told}");
+    }
+    assert_eq!(told.lines().count(), named.len(), "{told}");
+}
+
+#[test]
+fn a_file_that_is_no_toml_is_told() {
+    assert!(
+        "vm = "
+            .parse::<Settings>()
+            .unwrap_err()
+            .to_string()
+            .starts_with("not TOML")
+    );
+}
--- a/crates/cloverpost/tests/behaviour/main.rs
+++ b/crates/cloverpost/tests/behaviour/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod fake;
 mod front;
+mod gateway;
 mod lease;
 mod logs;
 mod metrics;
--- a/crates/cloverpost/tests/behaviour/settings/mod.rs
+++ b/crates/cloverpost/tests/behaviour/settings/mod.rs
@@ -79,3 +79,25 @@
         .collect();
     assert_eq!(variables.len(), ALL.len());
 }
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let given = Given::default()
+        .with_flag("zone", Some("a".to_owned()))
+        .with_flag("caller-addr", Some("not-an-address".to_owned()))
+        .with_flag("max-body", Some("0".to_owned()))
+        .with_flag("max-headers", Some("many".to_owned()));
+    let errors = Settings::read(&given).expect_err("much is wrong").0;
+    let flags: Vec<_> = errors.iter().map(|error| error.flag.as_str()).collect();
+    let expected = [
+        "--vm-id",
+        "--region",
+        "--caller-addr",
+        "--platform-url",
+        "--peer-key",
+        "--session-key",
+        "--max-body",
+        "--max-headers",
+    ];
+    assert_eq!(flags, expected);
+}
