--- /dev/null
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -0,0 +1,180 @@
+//! The control thread of a gateway.
+//!
+//! An actor keeps the [`Image`] of the store's tables. Followers bring it the
+//! store's news; while those fail it asks peers, which have the same tables, and
+//! a copy with a newer version counts whoever brings it. Each change publishes a
+//! new view to the traffic thread.
+
+mod belief;
+mod changes;
+mod duties;
+mod peers;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use cloverpost_core::directory::{Image, Member, Page, Upstream, Versions};
+use cloverpost_core::time;
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use tokio::sync::watch;
+
+use crate::gateway::codec::Codec;
+use crate::gateway::store::{Error, Store, Topic};
+use crate::gateway::{Shared, follow, loads};
+use crate::peer;
+
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(125);
+
+/// What the keeper is told.
+#[derive(Debug)]
+pub enum Command {
+    /// The store answered.
+    Learned {
+        /// About what.
+        topic: Topic,
+        /// With which rows.
+        page: Box<Page>,
+        /// Whether they are the whole table.
+        whole: bool,
+    },
+    /// The store did not answer.
+    Lost {
+        /// About what.
+        topic: Topic,
+        /// Why not.
+        error: Error,
+    },
+    /// A peer sent something.
+    Peer(Box<peer::Incoming>),
+    /// A peer answered a question.
+    Told(Box<Image>),
+    /// A write ended.
+    Written,
+    /// Time has passed.
+    Tick,
+}
+
+/// What the keeper starts with.
+pub struct Parts<C: Codec, S> {
+    /// What it shares with traffic.
+    pub shared: Arc<Shared<C>>,
+    /// The store.
+    pub store: S,
+    /// Links to peers.
+    pub links: peer::Links,
+    /// This VM, as it lists itself.
+    pub own: Member,
+}
+
+/// Keeps the image of the store's tables.
+pub struct Keeper<C: Codec, S>(std::marker::PhantomData<(C, S)>);
+
+impl<C: Codec, S> Default for Keeper<C, S> {
+    fn default() -> Self {
+        Self(std::marker::PhantomData)
+    }
+}
+
+/// State of the keeper.
+pub struct State<C: Codec, S> {
+    parts: Parts<C, S>,
+    image: Image,
+    /// Upstreams that are missing since an outage, and until when they are used.
+    missing: HashMap<String, (Upstream, time::Moment)>,
+    /// Topics on which the store does not answer.
+    lost: HashMap<Topic, time::Moment>,
+    /// When the store last came back.
+    returned: Option<time::Moment>,
+    heard: time::Moment,
+    swept: time::Moment,
+    shared_evidence: time::Moment,
+    asked: time::Moment,
+    is_writing: bool,
+    /// Versions in which the tables last changed.
+    changed: Versions,
+    loads: loads::Loads,
+    /// When a peer last said that it hears from the store.
+    fresh: Option<time::Moment>,
+    told: time::Moment,
+    follows: watch::Sender<bool>,
+    follows_progress: watch::Sender<bool>,
+}
+
+impl<C: Codec, S: Store> Actor for Keeper<C, S> {
+    type Msg = Command;
+    type State = State<C, S>;
+    type Arguments = Parts<C, S>;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Command>,
+        parts: Parts<C, S>,
+    ) -> Result<State<C, S>, ActorProcessingErr> {
+        let state = State {
+            parts,
+            image: Image::default(),
+            missing: HashMap::new(),
+            lost: HashMap::new(),
+            returned: None,
+            heard: time::Moment::default(),
+            swept: time::Moment::default(),
+            shared_evidence: time::Moment::default(),
+            asked: time::Moment::default(),
+            is_writing: false,
+            changed: Versions::default(),
+            loads: loads::Loads::default(),
+            fresh: None,
+            told: time::Moment::default(),
+            follows: watch::Sender::new(true),
+            follows_progress: watch::Sender::new(false),
+        };
+        for topic in [
+            Topic::Operators,
+            Topic::Upstreams,
+            Topic::Members,
+            Topic::Progress,
+        ] {
+            let wanted = match topic {
+                Topic::Progress => state.follows_progress.subscribe(),
+                _ => state.follows.subscribe(),
+            };
+            let metrics = state.parts.shared.metrics.clone();
+            let store = state.parts.store.clone();
+            tokio::spawn(follow::run(store, topic, myself.clone(), metrics, wanted));
+        }
+        tokio::spawn(duties::announce(
+            state.parts.store.clone(),
+            state.parts.own.clone(),
+        ));
+        myself.send_interval(TICK, || Command::Tick);
+        Ok(state)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Command>,
+        command: Command,
+        state: &mut State<C, S>,
+    ) -> Result<(), ActorProcessingErr> {
+        match command {
+            Command::Learned { topic, page, whole } => {
+                state.learn(topic, *page, whole);
+                state.drive_rollouts(&myself);
+            }
+            Command::Lost { topic, error } => state.lose(topic, &error),
+            Command::Peer(incoming) => state.hear(&myself, *incoming),
+            Command::Told(image) => state.merge(*image),
+            Command::Written => state.is_writing = false,
+            Command::Tick => state.tick(&myself),
+        }
+        Ok(())
+    }
+}
+
+impl<C: Codec, S: Store> State<C, S> {
+    pub(super) fn now(&self) -> time::Moment {
+        self.parts.shared.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/cloverpost/src/gateway/stream/mod.rs
@@ -0,0 +1,13 @@
+//! Requests whose answer is a stream of events.
+//!
+//! The smallest model that may answer is asked first. Its opinion of its own
+//! answer stands in the head, before the caller has got anything, so a poor answer
+//! is dropped there and the largest model asked instead. Later a stream that
+//! breaks off goes on at another upstream after its last whole event, if its
+//! route allows it.
+
+mod relay;
+mod start;
+
+pub use relay::{Broken, Relay};
+pub use start::{Start, start};
--- a/crates/cloverpost/src/gateway/stream.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -1,50 +1,24 @@
-//! Requests whose answer is a stream of events.
-//!
-//! The smallest model that may answer is asked first. Its opinion of its own
-//! answer stands in the head, before the caller has got anything, so a poor answer
-//! is dropped there and the largest model asked instead. Later a stream that
-//! breaks off goes on at another upstream after its last whole event, if its
-//! route allows it.
+//! A stream on its way to the caller.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cloverpost_core::balance::Event;
 use cloverpost_core::dispatch::{Dispatch, Failure, Next};
-use cloverpost_core::refusal::Refusal;
 use cloverpost_core::{directory, id, time};
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 
 use crate::gateway::Shared;
-use crate::gateway::answer::{self, Whole};
 use crate::gateway::attempt::{self, Begun, Terms};
 use crate::gateway::codec::Codec;
 use crate::gateway::events::Splitter;
 use crate::gateway::job::Job;
-use crate::gateway::pick;
 use crate::gateway::place::Place;
-use crate::gateway::plain;
 use crate::gateway::pool::Connection;
-
-/// Opinion of its own answer, 0 to 100, below which a small model's answer is
-/// dropped for a larger one's. In trials on a quiet day 60 earned 0.804, 50 0.796,
-/// always the smallest 0.549, always the largest 0.657 of what is owed.
-const CONFIDENT: u8 = 60;
-/// Part of the target latency after which no larger model is asked: its answer
-/// would come late, and late answers are worth less than most small models' ones.
-const ESCALATE_WITHIN: f64 = 0.6;
-
-/// What came of the start of a stream.
-pub enum Start<C: Codec> {
-    /// The stream has begun.
-    Begun(Box<Relay<C>>),
-    /// An upstream answered with a failure of its own.
-    Failed(Whole),
-    /// No upstream answered.
-    Refused(Refusal),
-}
+use crate::gateway::{answer, pick, plain};
 
 /// The caller's stream broke off; its connection is closed without an end mark.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,115 +53,33 @@
     body: Incoming,
 }
 
-/// Sees `job` through to the head of its answer.
-pub async fn start<C: Codec>(shared: &Arc<Shared<C>>, job: Job) -> Start<C> {
-    let mut dispatch = plain::dispatch(&job);
-    let mut tried = Vec::new();
-    let mut failing = Vec::new();
-    let mut failed = None;
-    let mut model = job.route.models.first().cloned();
-    shared.note_first(&job.service);
-    loop {
-        // With none left, one that failed may do better on another connection, and one
-        // that did not may be asked for a larger model's answer.
-        let picked = pick::upstream(shared, &job, model.as_ref(), &tried)
-            .or_else(|| pick::upstream(shared, &job, model.as_ref(), &failing))
-            .or_else(|| pick::upstream(shared, &job, model.as_ref(), &[]));
-        let Some(upstream) = picked else {
-            return failed.map_or_else(|| Start::Refused(dispatch.no_upstream()), Start::Failed);
-        };
-        tried.push(upstream.id.clone());
-        let terms = Terms {
-            model: model.as_ref(),
-            last_event: None,
-            has_another: dispatch.has_run_left(),
-        };
-        let failure = match attempt::send(shared, &job, &upstream, terms).await {
-            Ok(begun) if begun.is_failure => match plain::whole(shared, &job, begun).await {
-                Ok((answer, _)) => {
-                    failed = Some(answer);
-                    Failure::Failed
-                }
-                Err(failure) => failure,
-            },
-            Ok(begun) => match larger(shared, &job, &dispatch, model.as_ref(), &begun) {
-                Some(larger) => {
-                    dispatch.dropped();
-                    model = Some(larger);
-                    continue;
-                }
-                None => {
-                    return Start::Begun(Box::new(relay(
-                        shared, job, dispatch, tried, model, begun,
-                    )));
-                }
-            },
-            Err(failure) => failure,
-        };
-        failing.push(upstream.id.clone());
-        match plain::next(shared, &job, &mut dispatch, failure) {
-            Next::Retry => {}
-            Next::Refuse(refusal) => {
-                return failed.map_or(Start::Refused(refusal), Start::Failed);
-            }
+impl<C: Codec> Relay<C> {
+    /// Passes on `begun`, the answer of `model`.
+    pub fn new(
+        shared: &Arc<Shared<C>>,
+        job: Job,
+        dispatch: Dispatch,
+        tried: Vec<id::Upstream>,
+        model: Option<id::Model>,
+        begun: Begun<C>,
+    ) -> Self {
+        Self {
+            shared: shared.clone(),
+            job,
+            dispatch,
+            tried,
+            model,
+            splitter: Splitter::default(),
+            head: begun.head,
+            running: Some(Running {
+                place: begun.place,
+                connection: begun.connection,
+                body: begun.body,
+            }),
+            outcome: None,
         }
     }
-}
 
-/// The model to ask in place of an answer that its own model thinks little of.
-fn larger<C: Codec>(
-    shared: &Shared<C>,
-    job: &Job,
-    dispatch: &Dispatch,
-    model: Option<&id::Model>,
-    begun: &Begun<C>,
-) -> Option<id::Model> {
-    let largest = job.route.models.last()?;
-    let confidence = begun.confidence?;
-    let is_poor = confidence < CONFIDENT && model != Some(largest);
-    let now = shared.clock.now();
-    let is_early = now.since(job.started) < job.route.target_latency.mul_f64(ESCALATE_WITHIN);
-    if !is_poor || !is_early || !dispatch.has_run_left() {
-        return None;
-    }
-    if !shared.may_repeat(&job.service) {
-        return None;
-    }
-    shared
-        .metrics
-        .escalated
-        .with_label_values(&[job.route.name.as_str()])
-        .inc();
-    log::debug!(id = job.asked.id.as_str(), confidence; "asking a larger model");
-    Some(largest.clone())
-}
-
-fn relay<C: Codec>(
-    shared: &Arc<Shared<C>>,
-    job: Job,
-    dispatch: Dispatch,
-    tried: Vec<id::Upstream>,
-    model: Option<id::Model>,
-    begun: Begun<C>,
-) -> Relay<C> {
-    Relay {
-        shared: shared.clone(),
-        job,
-        dispatch,
-        tried,
-        model,
-        splitter: Splitter::default(),
-        head: begun.head,
-        running: Some(Running {
-            place: begun.place,
-            connection: begun.connection,
-            body: begun.body,
-        }),
-        outcome: None,
-    }
-}
-
-impl<C: Codec> Relay<C> {
     /// The events, as frames of a body.
     pub fn frames(self) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send {
         stream::unfold(self, |mut relay| async move {
@@ -310,6 +202,9 @@
     }
 }
 
+/// Shortest pause between looks at a silent upstream.
+const LOOK: Duration = Duration::from_millis(20);
+
 /// Waits until it makes no sense to wait longer for the next event.
 ///
 /// A stream whose upstream serves others meanwhile waits its turn; one whose
@@ -333,9 +228,7 @@
             place.note(Event::Silent);
             return Failure::Stalled;
         }
-        let rest = attempt::SILENCE
-            .saturating_sub(silence)
-            .max(std::time::Duration::from_millis(20));
+        let rest = attempt::SILENCE.saturating_sub(silence).max(LOOK);
         tokio::time::sleep(left.min(rest)).await;
     }
 }
