fix(cloverpost): a slow version is told by the median and by the pace of its streams

Change: times are held against the median, from 2.5 times on; events of a stream are timed too; the line of a roll-out's step shows the counts by route.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Shared;
 use crate::gateway::answer;
 use crate::gateway::codec::{Attempt, Codec, Verdict};
+use crate::gateway::evidence::Span;
 use crate::gateway::job::Job;
 use crate::gateway::pick;
 use crate::gateway::place::Place;
@@ -219,7 +220,7 @@
     let mut evidence = shared.evidence();
     let good = match result {
         Ok(begun) => {
-            let is_slow = evidence.time(&job.route.name, terms.model, took);
+            let is_slow = evidence.time(Span::Head, &job.route.name, terms.model, took);
             !begun.is_failure && !is_slow
         }
         Err(Failure::Lost | Failure::Mismatched | Failure::TimedOut) => false,
--- a/crates/cloverpost/src/gateway/control/duties.rs
+++ b/crates/cloverpost/src/gateway/control/duties.rs
@@ -86,7 +86,7 @@
     let outcome = result.map_or_else(|error| error.to_string(), |()| "written".to_owned());
     log::info!(
         service = progress.service.as_str(), target_version = progress.target.as_str(),
-        state:? = progress.state, why = step.why, expected:% = step.expected, outcome = outcome.as_str();
+        state:? = progress.state, why = step.why, evidence = step.evidence.as_str(), expected:% = step.expected, outcome = outcome.as_str();
         "roll-out moves on"
     );
 }
--- a/crates/cloverpost/src/gateway/events.rs
+++ b/crates/cloverpost/src/gateway/events.rs
@@ -14,6 +14,7 @@
 pub struct Splitter {
     pending: BytesMut,
     last: Option<String>,
+    count: u32,
 }
 
 /// An event is larger than any that is accepted.
@@ -29,12 +30,19 @@
             return Err(TooLarge);
         }
         let events = self.pending.split_to(end).freeze();
+        self.count += count(&events);
         if let Some(id) = last_id(&events) {
             self.last = Some(id);
         }
         Ok(events)
     }
 
+    /// Whole events so far.
+    #[must_use]
+    pub const fn count(&self) -> u32 {
+        self.count
+    }
+
     /// Id of the last whole event.
     #[must_use]
     pub fn last_id(&self) -> Option<&str> {
@@ -70,6 +78,13 @@
     end
 }
 
+/// Events with an id; the others are notes that keep a connection open.
+fn count(events: &[u8]) -> u32 {
+    let lines = events.split(|byte| *byte == b'\n');
+    let ids = lines.filter(|line| line.starts_with(b"id:")).count();
+    u32::try_from(ids).unwrap_or(u32::MAX)
+}
+
 fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|byte| *byte == b'\n').rev();
     let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -7,21 +7,32 @@
 use cloverpost_core::evidence::{Counts, Digest, Ledger, Row, Source};
 use cloverpost_core::{exposure, id, rollout};
 
-/// Multiple of the usual time to an answer from which on it counts against its
-/// version. Prompts differ in length by as much, but on both versions alike.
-const SLOW: f64 = 3.0;
-/// Part of a new time in the usual one.
-const PART: f64 = 0.05;
+/// Multiple of the median time from which on it counts against its version. Prompts
+/// differ in length by as much, but on both versions alike.
+const SLOW: f64 = 2.5;
+/// Step by which the median moves with each time, as a part of it. A mean would not
+/// do: a few long prompts raise it so far that answers eight times as slow pass.
+const STEP: f64 = 0.03;
 /// Share of the roll-outs of good versions that may be halted.
 const FALSE_HALT: f64 = 0.01;
 
+/// What of an answer is timed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Span {
+    /// From the request to the head.
+    Head,
+    /// From event to event of a stream, on the mean. A version may begin its answers
+    /// as fast as ever and then crawl.
+    Event,
+}
+
 /// Counts of good and bad answers of open roll-outs, of this VM and of those that
 /// told it theirs.
 #[derive(Debug)]
 pub struct Evidence {
     own: Source,
     ledger: Ledger<exposure::Key>,
-    usual: HashMap<(id::Entry, Option<id::Model>), f64>,
+    usual: HashMap<(Span, id::Entry, Option<id::Model>), f64>,
     /// Roll-outs that were found bad here.
     worse: BTreeSet<(id::Pool, Version)>,
 }
@@ -37,14 +48,23 @@
         }
     }
 
-    /// Notes the time to an answer's start; whether it is slow against the usual.
-    pub fn time(&mut self, route: &id::Entry, model: Option<&id::Model>, took: Duration) -> bool {
+    /// Notes a time; whether it is long against the usual.
+    pub fn time(
+        &mut self,
+        span: Span,
+        route: &id::Entry,
+        model: Option<&id::Model>,
+        took: Duration,
+    ) -> bool {
         let took = took.as_secs_f64();
-        let key = (route.clone(), model.cloned());
+        let key = (span, route.clone(), model.cloned());
         let usual = self.usual.entry(key).or_insert(took);
         let is_slow = took > *usual * SLOW;
-        // One that is far off must not move what it is measured against.
-        *usual += (took.min(*usual * SLOW) - *usual) * PART;
+        *usual *= if took > *usual {
+            1.0 + STEP
+        } else {
+            1.0 - STEP
+        };
         is_slow
     }
 
@@ -112,6 +132,19 @@
         is_worse
     }
 
+    /// What is known of the roll-out `order` of `service`, for people.
+    pub fn summary(&self, service: &id::Pool, order: Version) -> String {
+        let keys = self.ledger.keys();
+        let of = keys.filter(|key| key.service == *service && key.order == order);
+        let rows = of.map(|key| {
+            let counts = self.total(key);
+            let side = if key.is_new { "new" } else { "old" };
+            let route = &key.route;
+            format!("{route} {side} {}/{} bad", counts.fails, counts.total())
+        });
+        rows.collect::<Vec<_>>().join(", ")
+    }
+
     /// Whether the last judgement found the new version worse.
     pub fn is_worse(&self, service: &id::Pool, order: Version) -> bool {
         !self.worse.is_empty() && self.worse.contains(&(service.clone(), order))
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -27,6 +27,8 @@
     pub expected: Version,
     /// Why, for the log.
     pub why: &'static str,
+    /// What was known, for the log.
+    pub evidence: String,
 }
 
 /// Whether any order still waits for its end.
@@ -64,6 +66,7 @@
             progress: begin(order, version, shared.store_now_ms()),
             expected,
             why: "ordered",
+            evidence: String::new(),
         });
     };
     if current.state != State::InProgress {
@@ -78,6 +81,7 @@
         progress,
         expected,
         why,
+        evidence: shared.evidence().summary(&order.service, version),
     })
 }
 
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -15,6 +15,7 @@
 use crate::gateway::attempt::{self, Begun, Terms};
 use crate::gateway::codec::Codec;
 use crate::gateway::events::Splitter;
+use crate::gateway::evidence::Span;
 use crate::gateway::job::Job;
 use crate::gateway::place::Place;
 use crate::gateway::pool::Connection;
@@ -51,6 +52,10 @@
     place: Place<C>,
     connection: Connection,
     body: Incoming,
+    /// When its head came.
+    began: time::Moment,
+    /// Whole events that came before it.
+    before: u32,
 }
 
 impl<C: Codec> Relay<C> {
@@ -75,6 +80,8 @@
                 place: begun.place,
                 connection: begun.connection,
                 body: begun.body,
+                began: shared.clock.now(),
+                before: 0,
             }),
             outcome: None,
         }
@@ -124,7 +131,7 @@
                 None => return Ok(None),
                 Some(Err(_)) => {
                     running.place.note(Event::Broke);
-                    weigh_cut(&self.shared, &self.job, &running.place);
+                    weigh_bad(&self.shared, &self.job, &running.place);
                     return Err(Failure::Cut);
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
@@ -182,26 +189,47 @@
             place: begun.place,
             connection: begun.connection,
             body: begun.body,
+            began: self.shared.clock.now(),
+            before: self.splitter.count(),
         });
         Ok(())
     }
 
+    /// Counts a stream against its version whose events came far apart.
+    fn weigh_pace(&self, running: &Running<C>) {
+        let events = self.splitter.count() - running.before;
+        if events < PACE_LEAST {
+            return;
+        }
+        let pace = self.shared.clock.now().since(running.began) / events;
+        let route = &self.job.route.name;
+        let mut evidence = self.shared.evidence();
+        let is_slow = evidence.time(Span::Event, route, self.model.as_ref(), pace);
+        drop(evidence);
+        if is_slow {
+            weigh_bad(&self.shared, &self.job, &running.place);
+        }
+    }
+
     fn finish(&mut self) {
         self.outcome = Some("answered");
         if let Some(running) = self.running.take() {
             running.place.note(Event::Succeeded);
+            self.weigh_pace(&running);
             self.shared.pool.keep(running.connection);
         }
     }
 }
 
-/// Counts a stream that broke off against its version.
-fn weigh_cut<C: Codec>(shared: &Shared<C>, job: &Job, place: &Place<C>) {
+/// Counts a stream that broke off or crawled against its version.
+fn weigh_bad<C: Codec>(shared: &Shared<C>, job: &Job, place: &Place<C>) {
     if let Some(key) = pick::evidence_key(shared, job, &place.upstream) {
         shared.evidence().count(&key, false);
     }
 }
 
+/// Events from which on a stream's pace says something.
+const PACE_LEAST: u32 = 2;
 /// Shortest pause between looks at a silent upstream.
 const LOOK: Duration = Duration::from_millis(20);
 
