--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -10,6 +10,9 @@
 /// Multiple of the median time from which on it counts against its version. Prompts
 /// differ in length by as much, but on both versions alike.
 const SLOW: f64 = 2.5;
+/// Least time above the median that counts, in seconds. A new version's connections
+/// are new, and against a median of a millisecond opening one looks slow.
+const LEAST: f64 = 0.03;
 /// Step by which the median moves with each time, as a part of it. A mean would not
 /// do: a few long prompts raise it so far that answers eight times as slow pass.
 const STEP: f64 = 0.03;
@@ -61,7 +64,7 @@
         let took = took.as_secs_f64();
         let key = (span, route.clone(), model.cloned());
         let usual = self.usual.entry(key).or_insert(took);
-        let is_slow = took > *usual * SLOW;
+        let is_slow = took > *usual * SLOW && took > *usual + LEAST;
         *usual *= if took > *usual {
             1.0 + STEP
         } else {
