fix(cloverpost): what a new version does with all requests is judged by itself

Cause: a version that fails only under load answers well through its trial. Its last second, with everything, was one sum with the good answers before (8 of 47 bad beside 14 of 376, twice as many as that in the last second), and the old rate was taken two deviations low, which made six failures in twenty a tenth as telling. Routes were summed as they came, whose mix hid a drop. Change: counts keep the stage they were made in; both the whole time and the last stage are tested, on each route and on all together by likelihoods in place of sums; the old rate is averaged over what its answers leave likely.

--- a/crates/cloverpost-core/src/exposure/key.rs
+++ b/crates/cloverpost-core/src/exposure/key.rs
@@ -14,6 +14,19 @@
     pub order: directory::Version,
     /// Route of the requests.
     pub route: id::Entry,
-    /// Whether the new version answered.
-    pub is_new: bool,
+    /// Version that answered, and while it had which share.
+    pub side: Side,
+}
+
+/// Version that answered, and while it had which share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum Side {
+    /// The old one.
+    Old,
+    /// The new one, of a small share.
+    Trial,
+    /// The new one, of all requests. A version may fail only under load, and what the
+    /// last second shows drowns among its good answers before.
+    Whole,
 }
--- a/crates/cloverpost-core/src/exposure/mod.rs
+++ b/crates/cloverpost-core/src/exposure/mod.rs
@@ -13,7 +13,7 @@
 mod stage;
 
 pub use judges::{JUDGES, judges};
-pub use key::Key;
+pub use key::{Key, Side};
 pub use message::Message;
 pub use pins::Pins;
 pub use sessions::Sessions;
--- a/crates/cloverpost-core/src/exposure/stage.rs
+++ b/crates/cloverpost-core/src/exposure/stage.rs
@@ -45,6 +45,12 @@
 }
 
 impl Stage {
+    /// Whether the new version gets all requests.
+    #[must_use]
+    pub fn is_whole(&self) -> bool {
+        self.share >= 1.0
+    }
+
     /// Whether the roll-out may be called complete by a VM that leaves `waits` of
     /// the time to others.
     #[must_use]
--- a/crates/cloverpost-core/src/rollout/assess.rs
+++ b/crates/cloverpost-core/src/rollout/assess.rs
@@ -55,6 +55,17 @@
     test::below(evidence.new, test::lower(evidence.old)) >= 1.0 / false_halt
 }
 
+/// Whether the new version is worse on any of `routes`, or a little worse on all of
+/// them; `false_halt` as for [`is_worse()`], averaged over rates of the old version
+/// that its own answers leave likely.
+#[must_use]
+pub fn is_worse_on_any(routes: &[Evidence], false_halt: f64) -> bool {
+    let tests = u32::try_from(routes.len() + 1).unwrap_or(u32::MAX);
+    let enough = f64::from(tests) / false_halt;
+    let mut each = routes.chunks(1);
+    each.any(|route| test::worse(route) >= enough) || test::worse(routes) >= enough
+}
+
 /// A bad version must pass this in every stage; the first alone keeps the rate.
 fn is_as_good(since: Evidence, options: &Options) -> bool {
     if since.old.total() == 0 {
--- a/crates/cloverpost-core/src/rollout/mod.rs
+++ b/crates/cloverpost-core/src/rollout/mod.rs
@@ -28,7 +28,7 @@
 mod test;
 mod watch;
 
-pub use assess::{Evidence, Verdict, assess, is_worse};
+pub use assess::{Evidence, Verdict, assess, is_worse, is_worse_on_any};
 pub use halt::Halt;
 pub use options::Options;
 pub use row::{Mark, Row, State};
--- a/crates/cloverpost-core/src/rollout/test.rs
+++ b/crates/cloverpost-core/src/rollout/test.rs
@@ -7,6 +7,7 @@
 
 use crate::evidence;
 use crate::plan;
+use crate::rollout::Evidence;
 
 /// Drops that the test for a halt looks for.
 const DROPS: [f64; 5] = [0.02, 0.05, 0.1, 0.2, 0.4];
@@ -18,6 +19,9 @@
 /// Standard deviations within which a rate is taken as known.
 const DEVIATIONS: f64 = 2.0;
 
+/// Half standard deviations, up and down, over which an unknown rate is averaged.
+const GRID: i32 = 8;
+
 /// Rates are kept this far from 0 and 1, where one rating would decide all.
 const EDGE: f64 = 0.005;
 
@@ -26,6 +30,20 @@
     mean_ratio(counts, rate, &DROPS.map(|drop| rate - drop))
 }
 
+/// Evidence that the new rates of several comparisons are all below the old ones, by
+/// the same drop. What shows a little everywhere adds up, and counts with different
+/// rates are never put into one sum, in which their mix would look like a drop.
+pub(super) fn worse(comparisons: &[Evidence]) -> f64 {
+    let beliefs = comparisons.iter().map(|one| (one.new, likely(one.old)));
+    let beliefs: Vec<_> = beliefs.collect();
+    let together = |drop: f64| {
+        let each = beliefs.iter();
+        each.map(|(new, old)| averaged(*new, old, drop) - averaged(*new, old, 0.0))
+            .sum::<f64>()
+    };
+    mean_of_exp(&DROPS.map(together))
+}
+
 /// Evidence that the rate behind `counts` is above `before - drop`.
 pub(super) fn above(counts: evidence::Counts, before: f64, drop: f64) -> f64 {
     let bad = before - drop;
@@ -33,11 +51,45 @@
 }
 
 fn mean_ratio(counts: evidence::Counts, tested: f64, others: &[f64]) -> f64 {
-    let ratios = others
+    let ratios: Vec<_> = others
         .iter()
-        .map(|other| ratio(counts, *other, tested).exp());
-    let count = u32::try_from(others.len()).unwrap_or(u32::MAX);
-    ratios.sum::<f64>() / f64::from(count)
+        .map(|other| ratio(counts, *other, tested))
+        .collect();
+    mean_of_exp(&ratios)
+}
+
+/// Rates that `counts` leave likely, with their weights.
+///
+/// The least of them in place of all would hide a drop: after 376 answers it lies two
+/// points lower, which makes six failures in twenty a tenth as telling.
+fn likely(counts: evidence::Counts) -> Vec<(f64, f64)> {
+    let passes = number(counts.passes) + 0.5;
+    let fails = number(counts.fails) + 0.5;
+    let total = passes + fails;
+    let mean = passes / total;
+    let deviation = (mean * (1.0 - mean) / (total + 1.0)).sqrt();
+    let rates = (-GRID..=GRID).map(|step| mean + deviation * f64::from(step) / 2.0);
+    let rates = rates.map(|rate| rate.clamp(EDGE, 1.0 - EDGE));
+    let density = |rate: f64| (passes - 1.0) * rate.ln() + (fails - 1.0) * (1.0 - rate).ln();
+    let peak = density(mean.clamp(EDGE, 1.0 - EDGE));
+    rates
+        .map(|rate| (rate, (density(rate) - peak).exp()))
+        .collect()
+}
+
+/// Logarithm of the likelihood of `counts` if the rate lies `drop` below those of `old`,
+/// but for a constant.
+fn averaged(counts: evidence::Counts, old: &[(f64, f64)], drop: f64) -> f64 {
+    let middle = old[old.len() / 2].0;
+    let weighted = old
+        .iter()
+        .map(|(rate, weight)| weight * ratio(counts, rate - drop, middle).exp());
+    weighted.sum::<f64>().ln()
+}
+
+fn mean_of_exp(logarithms: &[f64]) -> f64 {
+    let count = u32::try_from(logarithms.len()).unwrap_or(u32::MAX);
+    logarithms.iter().copied().map(f64::exp).sum::<f64>() / f64::from(count)
 }
 
 /// Logarithm of the likelihood of `rate` over that of `tested`.
--- a/crates/cloverpost-core/tests/behaviour/rollout/assess.rs
+++ b/crates/cloverpost-core/tests/behaviour/rollout/assess.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use cloverpost_core::evidence::Counts;
 use cloverpost_core::rollout;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -111,3 +112,59 @@
     let verdict = rollout::assess(&row(), known, LONG, &options);
     assert_eq!(verdict, rollout::Verdict::Wait);
 }
+
+/// Counts of `fails` in `all` answers.
+fn fails(fails: u64, all: u64) -> Counts {
+    Counts {
+        passes: all - fails,
+        fails,
+    }
+}
+
+/// Evidence on a route: failures and answers of the new version, then of the old.
+fn route(new: (u64, u64), old: (u64, u64)) -> rollout::Evidence {
+    rollout::Evidence {
+        new: fails(new.0, new.1),
+        old: fails(old.0, old.1),
+    }
+}
+
+#[test]
+fn what_a_second_under_load_shows_is_enough_on_all_routes_together() {
+    // A version fails half of its requests under load only. The last stage of its
+    // roll-out brings 38 answers on three routes, of which no single one proves it.
+    let routes = [
+        route((8, 12), (66, 210)),
+        route((6, 20), (14, 376)),
+        route((0, 6), (0, 43)),
+    ];
+    assert!(rollout::is_worse_on_any(&routes, 0.05));
+}
+
+#[test]
+fn a_new_version_that_gets_more_of_a_bad_route_is_not_worse() {
+    // One route fails a third of its requests on both versions, another next to none,
+    // and the new version happened to get more of the first.
+    let routes = [route((13, 40), (66, 210)), route((0, 10), (2, 400))];
+    assert!(!rollout::is_worse_on_any(&routes, 0.1));
+}
+
+#[test]
+fn good_versions_on_many_routes_are_halted_no_more_often_than_stated() {
+    const RATES: [f64; 4] = [0.7, 0.86, 0.97, 0.995];
+    let is_halted = |seed: u64| {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut routes = RATES.map(|rate| rollout::Evidence {
+            new: Counts::default(),
+            old: rated(300, rate, &mut rng),
+        });
+        (0..60).any(|_| {
+            for (route, rate) in routes.iter_mut().zip(RATES) {
+                route.new = route.new.plus(rated(LOOK, rate, &mut rng));
+            }
+            rollout::is_worse_on_any(&routes, 0.1)
+        })
+    };
+    let halted = (0..300).filter(|seed| is_halted(*seed)).count();
+    assert!(halted <= 30, "{halted} of 300");
+}
--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -107,25 +107,19 @@
 
     /// Answers of the new version that are known.
     pub fn answers(&self, service: &id::Pool, order: Version) -> u64 {
-        let keys = self.ledger.keys();
-        let new = keys.filter(|key| key.is_new && key.service == *service && key.order == order);
+        let keys = self.keys(service, order);
+        let new = keys.filter(|key| key.side != exposure::Side::Old);
         new.map(|key| self.ledger.total(key).total()).sum()
     }
 
     /// Judges the roll-out `order` of `service` on all that is known; whether the
-    /// new version answers worse on any route.
+    /// new version answers worse, over its whole time or since it gets everything.
     pub fn judge(&mut self, service: &id::Pool, order: Version) -> bool {
-        let keys = self.ledger.keys();
-        let new = keys.filter(|key| key.is_new && key.service == *service && key.order == order);
-        let new: Vec<_> = new.cloned().collect();
-        let mut found: Vec<_> = new.iter().map(|key| self.both(key)).collect();
-        // What is a little worse everywhere shows on all routes together.
-        let sum = found.iter().fold(rollout::Evidence::default(), plus);
-        found.push(sum);
-        let tests = u32::try_from(found.len()).unwrap_or(u32::MAX);
-        let false_halt = FALSE_HALT / f64::from(tests);
-        let mut found = found.into_iter();
-        let is_worse = found.any(|evidence| rollout::is_worse(evidence, false_halt));
+        let routes = self.routes(service, order);
+        let ever = self.sides(&routes, &[exposure::Side::Trial, exposure::Side::Whole]);
+        let lately = self.sides(&routes, &[exposure::Side::Whole]);
+        let is_worse = rollout::is_worse_on_any(&ever, FALSE_HALT / 2.0)
+            || rollout::is_worse_on_any(&lately, FALSE_HALT / 2.0);
         if is_worse {
             self.worse.insert((service.clone(), order));
         }
@@ -134,11 +128,13 @@
 
     /// What is known of the roll-out `order` of `service`, for people.
     pub fn summary(&self, service: &id::Pool, order: Version) -> String {
-        let keys = self.ledger.keys();
-        let of = keys.filter(|key| key.service == *service && key.order == order);
-        let rows = of.map(|key| {
-            let counts = self.total(key);
-            let side = if key.is_new { "new" } else { "old" };
+        let rows = self.keys(service, order).map(|key| {
+            let counts = self.ledger.total(key);
+            let side = match key.side {
+                exposure::Side::Old => "old",
+                exposure::Side::Trial => "new",
+                exposure::Side::Whole => "new with all",
+            };
             let route = &key.route;
             format!("{route} {side} {}/{} bad", counts.fails, counts.total())
         });
@@ -158,26 +154,32 @@
             .retain(|(service, order)| is_open(service, *order));
     }
 
-    /// Both sides of the roll-out on the route of `key`, which is the new one's.
-    fn both(&self, key: &exposure::Key) -> rollout::Evidence {
-        let old = exposure::Key {
-            is_new: false,
-            ..key.clone()
-        };
-        rollout::Evidence {
-            new: self.total(key),
-            old: self.total(&old),
-        }
+    fn keys(&self, service: &id::Pool, order: Version) -> impl Iterator<Item = &exposure::Key> {
+        let keys = self.ledger.keys();
+        keys.filter(move |key| key.service == *service && key.order == order)
     }
 
-    fn total(&self, key: &exposure::Key) -> Counts {
-        self.ledger.total(key)
+    /// One key of each route on which anything is known of the roll-out.
+    fn routes(&self, service: &id::Pool, order: Version) -> Vec<exposure::Key> {
+        let mut routes: Vec<_> = self.keys(service, order).cloned().collect();
+        routes.dedup_by(|one, other| one.route == other.route);
+        routes
     }
-}
 
-fn plus(sum: rollout::Evidence, one: &rollout::Evidence) -> rollout::Evidence {
-    rollout::Evidence {
-        new: sum.new.plus(one.new),
-        old: sum.old.plus(one.old),
+    /// Both versions on each of `routes`; of the new one, what it answered on `new`.
+    fn sides(&self, routes: &[exposure::Key], new: &[exposure::Side]) -> Vec<rollout::Evidence> {
+        let total = |route: &exposure::Key, side| {
+            let route = route.clone();
+            self.ledger.total(&exposure::Key { side, ..route })
+        };
+        let evidence = routes.iter().map(|route| rollout::Evidence {
+            new: new
+                .iter()
+                .fold(Counts::default(), |sum, side| sum.plus(total(route, *side))),
+            old: total(route, exposure::Side::Old),
+        });
+        evidence
+            .filter(|evidence| evidence.new.total() > 0)
+            .collect()
     }
 }
--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -70,11 +70,18 @@
     let Allowed::Rollout(rollout) = &view.pools.get(&job.service)?.allowed else {
         return None;
     };
+    let side = if upstream.version != rollout.target {
+        exposure::Side::Old
+    } else if shared.stage(rollout).is_whole() {
+        exposure::Side::Whole
+    } else {
+        exposure::Side::Trial
+    };
     Some(exposure::Key {
         service: job.service.clone(),
         order: rollout.order,
         route: job.route.name.clone(),
-        is_new: upstream.version == rollout.target,
+        side,
     })
 }
 
