fix(cloverpost): half of a new version's upstreams bear its last stage

Cause: a version of roster-app that fails under load got 39 requests a second on four upstreams in its last stage, 0.6 of 24 places busy: 1 to 4 of 22 answers were bad, as many as by chance. Ruled out: a longer stage (allowance is used up); a lower bar (evidence is none). Conclusion: stays; a load that never comes still shows nothing, which costs a missed duty.

--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -51,7 +51,13 @@
     drop(rate);
     let now = shared.clock.now();
     let usable = pool.upstreams.iter().filter(|one| side.takes(one));
-    let chosen = shared.balance().choose(usable, &want, now).cloned()?;
+    let chosen = match proving(shared, job, pool, &side) {
+        Some(proving) => {
+            let proving = usable.filter(|one| proving.contains(&one.id));
+            shared.balance().choose(proving, &want, now).cloned()
+        }
+        None => shared.balance().choose(usable, &want, now).cloned(),
+    }?;
     if let Some(session) = job.asked.session {
         // Noted at all times: a session that began before a roll-out stays where it
         // is through the first half of it.
@@ -60,6 +66,36 @@
     Some(chosen)
 }
 
+/// Part of the new version's upstreams that get its requests in the last stage.
+const PROVING: usize = 2;
+
+/// Upstreams of the new version that get everything in its last stage, before it is
+/// trusted: half of them. A version that fails only under load shows nothing under the
+/// load of a quiet hour, and will have to bear twice as much.
+fn proving<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    pool: &Pool,
+    side: &Side,
+) -> Option<Vec<id::Upstream>> {
+    let Allowed::Rollout(rollout) = &pool.allowed else {
+        return None;
+    };
+    let is_new = matches!(side, Side::Only(_));
+    if !is_new
+        || !shared
+            .stage(rollout)
+            .is_whole(&tally(shared, job, pool, rollout))
+    {
+        return None;
+    }
+    let upstreams = pool.upstreams.iter().filter(|one| side.takes(one));
+    let mut ids: Vec<_> = upstreams.map(|one| one.id.clone()).collect();
+    ids.sort_unstable();
+    ids.truncate(ids.len().div_ceil(PROVING));
+    Some(ids)
+}
+
 /// What an answer of `upstream` is evidence of; `None` without a roll-out.
 pub fn evidence_key<C: Codec>(
     shared: &Shared<C>,
