--- a/crates/cloverpost-cli/src/gateway.rs
+++ b/crates/cloverpost-cli/src/gateway.rs
@@ -34,12 +34,14 @@
 }
 
 async fn serve(settings: Settings, file: PathBuf, keys: peer::Keys) -> Result<(), Failure> {
+    signal::survive_hang_up();
+    let stop = signal::stop();
     log::info!(settings:? = settings; "starting");
     let store = Store::new(settings.store_addr);
     let vm = Vm::start(settings, Some(file), Codec, store, keys)
         .await
         .map_err(Failure::failed)?;
-    vm.run(signal::stop()).await;
+    vm.run(stop).await;
     Ok(())
 }
 
--- a/crates/cloverpost/src/gateway/reload.rs
+++ b/crates/cloverpost/src/gateway/reload.rs
@@ -16,12 +16,11 @@
 /// Takes over changes of the settings file for as long as it is polled.
 pub async fn run<C: Codec>(file: PathBuf, shared: Arc<Shared<C>>) {
     let mut hang_up = signal(SignalKind::hangup()).ok();
-    let mut text = std::fs::read_to_string(&file).unwrap_or_default();
+    // The file may have changed since the settings were read from it, so the first look
+    // takes it for new.
+    let mut text = String::new();
+    let mut signalled = false;
     loop {
-        let signalled = tokio::select! {
-            () = tokio::time::sleep(LOOK) => false,
-            () = hung_up(&mut hang_up) => true,
-        };
         match std::fs::read_to_string(&file) {
             Ok(now) if now != text => {
                 take_over(&file, &now, &shared);
@@ -35,6 +34,10 @@
                 log::warn!(file:% = file.display(), why:% = error; "settings cannot be read, the old ones stay");
             }
         }
+        signalled = tokio::select! {
+            () = tokio::time::sleep(LOOK) => false,
+            () = hung_up(&mut hang_up) => true,
+        };
     }
 }
 
@@ -50,6 +53,7 @@
 fn take_over<C: Codec>(file: &Path, text: &str, shared: &Shared<C>) {
     let old = shared.settings.load_full();
     match text.parse::<Settings>() {
+        Ok(new) if new == *old => {}
         Ok(new) => {
             if addresses(&old) != addresses(&new) {
                 log::warn!(file:% = file.display(); "changed addresses and names need a restart");
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -107,9 +107,9 @@
 
     /// Serves until `stop` resolves, then ends gracefully.
     pub async fn run(self, stop: impl Future<Output = ()>) {
-        let grace = self.shared.settings.load().stop_grace;
         let server = tokio::spawn(server::run(self.callers, self.shared.clone()));
         stop.await;
+        let grace = self.shared.settings.load().stop_grace;
         let limit = tokio::time::sleep(grace.saturating_sub(KILL_MARGIN));
         log::info!(in_flight = self.shared.metrics.in_flight.get(); "stopping: no longer ready");
         self.shared.phase.send_replace(Phase::Leaving);
