fix(cloverpost): engines that read prompts share the last stage; a stream gets a status

Two findings, two changes. 1. Change: pools whose requests bring prompts share the load as they will later. An upstream sent a head and was reset before the first event, and no other was left. Ruled out: the VM (it ran, undisturbed). Change: the head goes out with the first events; a stream that ends before them is refused with 502.

--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -71,7 +71,9 @@
 
 /// Upstreams of the new version that get everything in its last stage, before it is
 /// trusted: half of them. A version that fails only under load shows nothing under the
-/// load of a quiet hour, and will have to bear twice as much.
+/// load of a quiet hour, and will have to bear twice as much. Engines that read prompts
+/// are left out: their first token comes later the more they read, so under twice the
+/// load a good version looks slow (seven heads of 38 where one was usual).
 fn proving<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
@@ -82,11 +84,12 @@
         return None;
     };
     let is_new = matches!(side, Side::Only(_));
-    if !is_new
-        || !shared
-            .stage(rollout)
-            .is_whole(&tally(shared, job, pool, rollout))
-    {
+    let reads_prompts = job.asked.prompt_tokens() > 0;
+    if !is_new || reads_prompts {
+        return None;
+    }
+    let stage = shared.stage(rollout);
+    if !stage.is_whole(&tally(shared, job, pool, rollout)) {
         return None;
     }
     let upstreams = pool.upstreams.iter().filter(|one| side.takes(one));
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use cloverpost_core::balance::Event;
 use cloverpost_core::dispatch::{Dispatch, Failure, Next};
+use cloverpost_core::refusal::Refusal;
 use cloverpost_core::{directory, id, time};
 use futures_util::{Stream, stream};
 use http_body_util::BodyExt;
@@ -44,6 +45,10 @@
     pub head: http::response::Parts,
     running: Option<Running<C>>,
     outcome: Option<&'static str>,
+    /// Events that were read ahead.
+    first: Option<Bytes>,
+    /// Whether its caller gets a refusal in its place.
+    is_given_up: bool,
 }
 
 /// The run that the stream comes from.
@@ -86,6 +91,8 @@
                 is_weighed: false,
             }),
             outcome: None,
+            first: None,
+            is_given_up: false,
         }
     }
 
@@ -97,26 +104,49 @@
         })
     }
 
+    /// Waits for the first events. A stream that breaks off before them, and can't go on
+    /// elsewhere, ends in a refusal; with the head on its way the caller would see a
+    /// closed connection that says nothing.
+    pub async fn open(&mut self) -> Result<(), Refusal> {
+        let first = self.advance().await;
+        self.is_given_up = first.is_err();
+        self.first = first?;
+        Ok(())
+    }
+
     async fn next(&mut self) -> Option<Result<Frame<Bytes>, Broken>> {
+        if let Some(first) = self.first.take() {
+            return Some(Ok(Frame::data(first)));
+        }
         if self.outcome.is_some() {
             return None;
         }
+        let events = self.advance().await;
+        let events = events.map_err(|refusal| {
+            log::info!(id = self.job.asked.id.as_str(), why:% = refusal.message; "stream is cut");
+            Broken
+        });
+        events.transpose().map(|events| events.map(Frame::data))
+    }
+
+    /// The next whole events, from whichever upstream; `None` at the proper end.
+    async fn advance(&mut self) -> Result<Option<Bytes>, Refusal> {
         loop {
             let failure = match self.read().await {
                 Ok(Some(events)) => {
                     self.weigh_pace(PACE_EVENTS);
-                    return Some(Ok(Frame::data(events)));
+                    return Ok(Some(events));
                 }
                 Ok(None) => {
                     self.finish();
-                    return None;
+                    return Ok(None);
                 }
                 Err(failure) => failure,
             };
             self.running = None;
-            if !self.resume(failure).await {
+            if let Err(refusal) = self.resume(failure).await {
                 self.outcome = Some("cut");
-                return Some(Err(Broken));
+                return Err(refusal);
             }
         }
     }
@@ -150,8 +180,8 @@
         }
     }
 
-    /// Goes on at another upstream after a failure; `false` if that can't be.
-    async fn resume(&mut self, mut failure: Failure) -> bool {
+    /// Goes on at another upstream after a failure, if that can be.
+    async fn resume(&mut self, mut failure: Failure) -> Result<(), Refusal> {
         self.splitter.discard_part();
         loop {
             log::info!(
@@ -160,15 +190,15 @@
                 "stream broke off"
             );
             let next = plain::next(&self.shared, &self.job, &mut self.dispatch, failure);
-            if let Next::Refuse(_) = next {
-                return false;
+            if let Next::Refuse(refusal) = next {
+                return Err(refusal);
             }
             let model = self.model.as_ref();
             let Some(upstream) = pick::upstream(&self.shared, &self.job, model, &self.tried) else {
-                return false;
+                return Err(self.dispatch.no_upstream());
             };
             failure = match self.go_on(&upstream).await {
-                Ok(()) => return true,
+                Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
         }
@@ -266,6 +296,9 @@
 impl<C: Codec> Drop for Relay<C> {
     /// The caller may leave at any event, which drops the stream.
     fn drop(&mut self) {
+        if self.is_given_up {
+            return;
+        }
         let outcome = self.outcome.unwrap_or("left");
         let took = self.shared.clock.now().since(self.job.started);
         self.shared.metrics.in_flight.dec();
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -69,11 +69,7 @@
                     model = Some(larger);
                     continue;
                 }
-                None => {
-                    return Start::Begun(Box::new(Relay::new(
-                        shared, job, dispatch, tried, model, begun,
-                    )));
-                }
+                None => return open(shared, job, dispatch, tried, model, begun).await,
             },
             Err(failure) => failure,
         };
@@ -87,6 +83,21 @@
     }
 }
 
+async fn open<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: Job,
+    dispatch: Dispatch,
+    tried: Vec<id::Upstream>,
+    model: Option<id::Model>,
+    begun: Begun<C>,
+) -> Start<C> {
+    let mut relay = Relay::new(shared, job, dispatch, tried, model, begun);
+    match relay.open().await {
+        Ok(()) => Start::Begun(Box::new(relay)),
+        Err(refusal) => Start::Refused(refusal),
+    }
+}
+
 /// The model to ask in place of an answer that its own model thinks little of.
 fn larger<C: Codec>(
     shared: &Shared<C>,
