fix(cloverpost): a stream whose caller left before its head is no longer in flight

A stream was counted at its start and taken off where the code path ends; a caller that leaves while the first upstream is awaited drops the path midway, and the count stays for ever. Ruled out: a request without a time limit (the route's limit was over, and no line of it is missing but the one that a drop writes).

--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 pub mod events;
 mod evidence;
 mod follow;
+mod in_flight;
 mod job;
 mod loads;
 pub mod metrics;
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -12,10 +12,11 @@
 
 use crate::gateway::answer::{self, Whole};
 use crate::gateway::codec::{Asked, Codec};
+use crate::gateway::in_flight::InFlight;
 use crate::gateway::job::Job;
 use crate::gateway::plain::{self, Outcome};
 use crate::gateway::shared::Phase;
-use crate::gateway::stream::{self, Broken, Relay, Start};
+use crate::gateway::stream::{self, Broken, Start};
 use crate::gateway::{Shared, pick};
 
 /// Body of an answer: whole, or a stream of events.
@@ -137,7 +138,7 @@
     job: Job,
 ) -> Answer<impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send + 'static + use<C>> {
     let kept = job.clone();
-    shared.metrics.in_flight.inc();
+    let in_flight = InFlight::new(&shared.metrics);
     let whole = match stream::start(shared, job).await {
         Start::Begun(relay) => {
             let now = shared.clock.now();
@@ -150,7 +151,7 @@
             let mut response = Response::new(());
             *response.status_mut() = relay.head.status;
             *response.headers_mut() = crate::front::headers::passed_on(&relay.head.headers);
-            return response.map(|()| Either::Right(StreamBody::new(Relay::frames(*relay))));
+            return response.map(|()| Either::Right(StreamBody::new(relay.frames(in_flight))));
         }
         Start::Failed(whole) => {
             note_job(shared, &kept, "failed", &whole);
@@ -162,7 +163,6 @@
             whole
         }
     };
-    shared.metrics.in_flight.dec();
     whole.map(|body| Either::Left(Full::new(body)))
 }
 
@@ -185,7 +185,7 @@
 }
 
 async fn tracked<C: Codec>(shared: Arc<Shared<C>>, job: Job) -> Whole {
-    let _in_flight = InFlight::new(&shared);
+    let _in_flight = InFlight::new(&shared.metrics);
     match plain::run(&shared, &job).await {
         Outcome::Answered(whole) => {
             let seconds = shared.clock.now().since(job.started).as_secs_f64();
@@ -210,23 +210,6 @@
     }
 }
 
-/// Counts a request in flight; dropped when its caller leaves.
-struct InFlight(prometheus::IntGauge);
-
-impl InFlight {
-    fn new<C: Codec>(shared: &Shared<C>) -> Self {
-        let gauge = shared.metrics.in_flight.clone();
-        gauge.inc();
-        Self(gauge)
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.dec();
-    }
-}
-
 fn note_refusal<C: Codec>(shared: &Shared<C>, job: &Job, refusal: &Refusal, whole: &Whole) {
     let (taken, places) = pick::occupancy(shared, &job.service);
     log::info!(
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -16,6 +16,7 @@
 use crate::gateway::attempt::{self, Begun, Terms};
 use crate::gateway::codec::Codec;
 use crate::gateway::events::Splitter;
+use crate::gateway::in_flight::InFlight;
 use crate::gateway::job::Job;
 use crate::gateway::place::Place;
 use crate::gateway::pool::Connection;
@@ -96,11 +97,14 @@
         }
     }
 
-    /// The events, as frames of a body.
-    pub fn frames(self) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send {
-        stream::unfold(self, |mut relay| async move {
+    /// The events, as frames of a body; `in_flight` counts until they end.
+    pub fn frames(
+        self: Box<Self>,
+        in_flight: InFlight,
+    ) -> impl Stream<Item = Result<Frame<Bytes>, Broken>> + Send + use<C> {
+        stream::unfold((self, in_flight), |(mut relay, in_flight)| async move {
             let frame = relay.next().await?;
-            Some((frame, relay))
+            Some((frame, (relay, in_flight)))
         })
     }
 
@@ -301,7 +305,6 @@
         }
         let outcome = self.outcome.unwrap_or("left");
         let took = self.shared.clock.now().since(self.job.started);
-        self.shared.metrics.in_flight.dec();
         let route = self.job.route.name.as_str();
         self.shared
             .metrics
