--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -1,6 +1,7 @@
 //! The start of a stream: which model answers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cloverpost_core::dispatch::{Dispatch, Failure, Next};
 use cloverpost_core::id;
@@ -21,6 +22,8 @@
 /// Part of the target latency after which no larger model is asked: its answer
 /// would come late, and late answers are worth less than most small models' ones.
 const ESCALATE_WITHIN: f64 = 0.6;
+/// Time that a larger model takes before its first event besides reading the prompt.
+const BEGIN: Duration = Duration::from_millis(200);
 
 /// What came of the start of a stream.
 pub enum Start<C: Codec> {
@@ -110,7 +113,11 @@
     let confidence = begun.confidence?;
     let is_poor = confidence < CONFIDENT && model != Some(largest);
     let now = shared.clock.now();
-    let is_early = now.since(job.started) < job.route.target_latency.mul_f64(ESCALATE_WITHIN);
+    let elapsed = now.since(job.started);
+    let target = job.route.target_latency;
+    let reads = shared.rate().work(Some(largest), job.asked.prompt_tokens());
+    let is_early = elapsed < target.mul_f64(ESCALATE_WITHIN)
+        && elapsed + Duration::from_secs_f64(reads) + BEGIN < target;
     if !is_poor || !is_early || !dispatch.has_run_left() {
         return None;
     }
