feat(cli): explain tells one request's course from the logs of all VMs

A grep brings the request's lines in the order of files, and not what they rested on. Change: cloverpost explain ID [FILES] reads plain logs, a VM each, or lines behind a time and a name; prints the steps in order of time and before each the last belief of that VM on the configuration, the store and the step's upstream.

--- a/crates/cloverpost-cli/src/flags.rs
+++ b/crates/cloverpost-cli/src/flags.rs
@@ -66,6 +66,14 @@
             optional --check
         }
 
+        /// Tell the course of one request from VMs' logs.
+        cmd explain {
+            /// The request's id, as its lines bear it.
+            required id: String
+            /// Logs, a VM each; none: standard input.
+            repeated files: PathBuf
+        }
+
         /// Read and edit the catalogue of a running VM.
         cmd catalogue {
             /// Print the newest catalogue.
--- a/crates/cloverpost-cli/src/main.rs
+++ b/crates/cloverpost-cli/src/main.rs
@@ -2,6 +2,7 @@
 #![deny(unsafe_code, rust_2018_idioms)]
 
 mod catalogue;
+mod explain;
 mod failure;
 mod flags;
 mod gateway;
@@ -37,6 +38,7 @@
     match flags.subcommand {
         Command::Serve(flags) => serve::run(flags),
         Command::Gateway(flags) => gateway::run(&flags),
+        Command::Explain(flags) => explain::run(&flags),
         Command::Catalogue(flags) => catalogue::run(flags),
         Command::Standin(flags) => standin::run(flags),
         Command::Demo(flags) => measure::demo(&flags),
--- a/crates/cloverpost-cli/tests/journey/main.rs
+++ b/crates/cloverpost-cli/tests/journey/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod command;
 mod edit;
+mod explain;
 mod freeze;
 mod kill;
 mod leaving;
--- a/crates/cloverpost/src/logs/mod.rs
+++ b/crates/cloverpost/src/logs/mod.rs
@@ -3,6 +3,7 @@
 //! Lines tell of changes of state; everything that happens often is a counter in
 //! [`crate::metrics`].
 
+pub mod explain;
 mod format;
 mod writer;
 
--- a/crates/cloverpost/tests/behaviour/logs/mod.rs
+++ b/crates/cloverpost/tests/behaviour/logs/mod.rs
@@ -1,1 +1,3 @@
 //! Set-up of structured logs.
+
+mod explain;
