refactor(cloverpost): weigh and commands stand below what uses them

Cause: two circles of modules in the gateway (attempt and weigh, control and follow), one of them new today; the opening of a stream passed six arguments on. Change: weigh takes what came of a send in place of the send itself; the control thread's commands have a file of their own; streams' tests share their opening. A failed head no longer teaches the usual time of its route.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -16,7 +16,7 @@
 use crate::gateway::pick;
 use crate::gateway::place::Place;
 use crate::gateway::pool::Connection;
-use crate::gateway::weigh;
+use crate::gateway::weigh::{self, Head};
 
 /// Time without a sign from an upstream, on any of this VM's requests, after
 /// which one that waits for a stream there goes elsewhere. Engines that read a
@@ -224,7 +224,13 @@
         Ok(_) => "answered",
         Err(failure) => failure.as_str(),
     };
-    weigh::head(shared, job, upstream, terms.model, took, result);
+    let head = match result {
+        Ok(begun) if begun.is_failure => Head::Failed,
+        Ok(_) => Head::Came,
+        Err(Failure::Lost | Failure::Mismatched | Failure::TimedOut) => Head::Failed,
+        Err(_) => Head::NotRun,
+    };
+    weigh::head(shared, job, upstream, terms.model, took, head);
     shared
         .metrics
         .attempts
--- /dev/null
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -0,0 +1,35 @@
+//! What the control thread is told.
+
+use cloverpost_core::directory::{Image, Page};
+
+use crate::gateway::store::{Error, Topic};
+use crate::peer;
+
+/// What the keeper of the tables is told.
+#[derive(Debug)]
+pub enum Command {
+    /// The store answered.
+    Learned {
+        /// About what.
+        topic: Topic,
+        /// With which rows.
+        page: Box<Page>,
+        /// Whether they are the whole table.
+        whole: bool,
+    },
+    /// The store did not answer.
+    Lost {
+        /// About what.
+        topic: Topic,
+        /// Why not.
+        error: Error,
+    },
+    /// A peer sent something.
+    Peer(Box<peer::Incoming>),
+    /// A peer answered a question.
+    Told(Box<Image>),
+    /// A write ended.
+    Written,
+    /// Time has passed.
+    Tick,
+}
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -14,48 +14,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Member, Page, Upstream, Versions};
+use cloverpost_core::directory::{Image, Member, Upstream, Versions};
 use cloverpost_core::time;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
 
 use crate::gateway::codec::Codec;
-use crate::gateway::store::{Error, Store, Topic};
+use crate::gateway::command::Command;
+use crate::gateway::store::{Store, Topic};
 use crate::gateway::{Shared, follow, loads};
 use crate::peer;
 
 /// Time between looks at what is due.
 const TICK: Duration = Duration::from_millis(125);
 
-/// What the keeper is told.
-#[derive(Debug)]
-pub enum Command {
-    /// The store answered.
-    Learned {
-        /// About what.
-        topic: Topic,
-        /// With which rows.
-        page: Box<Page>,
-        /// Whether they are the whole table.
-        whole: bool,
-    },
-    /// The store did not answer.
-    Lost {
-        /// About what.
-        topic: Topic,
-        /// Why not.
-        error: Error,
-    },
-    /// A peer sent something.
-    Peer(Box<peer::Incoming>),
-    /// A peer answered a question.
-    Told(Box<Image>),
-    /// A write ended.
-    Written,
-    /// Time has passed.
-    Tick,
-}
-
 /// What the keeper starts with.
 pub struct Parts<C: Codec, S> {
     /// What it shares with traffic.
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -7,7 +7,8 @@
 use ractor::ActorRef;
 
 use crate::gateway::codec::Codec;
-use crate::gateway::control::{Command, State};
+use crate::gateway::command::Command;
+use crate::gateway::control::State;
 use crate::gateway::rollouts;
 use crate::gateway::store::Store;
 use crate::peer;
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
-use crate::gateway::control::Command;
+use crate::gateway::command::Command;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::store::{Error, Store, Topic};
 
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod answer;
 mod attempt;
 pub mod codec;
+pub mod command;
 pub mod control;
 pub mod events;
 mod evidence;
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -66,14 +66,16 @@
                 }
                 Err(failure) => failure,
             },
-            Ok(begun) => match larger(shared, &job, &dispatch, model.as_ref(), &begun) {
-                Some(larger) => {
-                    dispatch.dropped();
-                    model = Some(larger);
-                    continue;
+            Ok(begun) => {
+                let larger = larger(shared, &job, &dispatch, model.as_ref(), &begun);
+                if larger.is_none() {
+                    let relay = Relay::new(shared, job, dispatch, tried, model, begun);
+                    return open(relay).await;
                 }
-                None => return open(shared, job, dispatch, tried, model, begun).await,
-            },
+                dispatch.dropped();
+                model = larger;
+                continue;
+            }
             Err(failure) => failure,
         };
         failing.push(upstream.id.clone());
@@ -86,15 +88,7 @@
     }
 }
 
-async fn open<C: Codec>(
-    shared: &Arc<Shared<C>>,
-    job: Job,
-    dispatch: Dispatch,
-    tried: Vec<id::Upstream>,
-    model: Option<id::Model>,
-    begun: Begun<C>,
-) -> Start<C> {
-    let mut relay = Relay::new(shared, job, dispatch, tried, model, begun);
+async fn open<C: Codec>(mut relay: Relay<C>) -> Start<C> {
     match relay.open().await {
         Ok(()) => Start::Begun(Box::new(relay)),
         Err(refusal) => Start::Refused(refusal),
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -15,7 +15,8 @@
 use tokio::sync::oneshot;
 
 use crate::gateway::codec::Codec;
-use crate::gateway::control::{Command, Keeper, Parts};
+use crate::gateway::command::Command;
+use crate::gateway::control::{Keeper, Parts};
 use crate::gateway::settings::Settings;
 use crate::gateway::shared::Phase;
 use crate::gateway::store::Store;
--- a/crates/cloverpost/src/gateway/weigh.rs
+++ b/crates/cloverpost/src/gateway/weigh.rs
@@ -2,38 +2,41 @@
 
 use std::time::Duration;
 
-use cloverpost_core::dispatch::Failure;
 use cloverpost_core::{directory, exposure, id};
 
 use crate::gateway::Shared;
-use crate::gateway::attempt::Begun;
 use crate::gateway::codec::Codec;
 use crate::gateway::evidence::Timed;
 use crate::gateway::job::Job;
 use crate::gateway::pick;
 
-/// Counts the head of an answer, which came `took` after the request, or its failure.
+/// What came of one send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Head {
+    /// The head of an answer.
+    Came,
+    /// A failure of the upstream, or nothing.
+    Failed,
+    /// A refusal: it never ran, which says nothing of the version.
+    NotRun,
+}
+
+/// Counts what came of a send, `took` after it.
 pub fn head<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     model: Option<&id::Model>,
     took: Duration,
-    result: &Result<Begun<C>, Failure>,
+    head: Head,
 ) {
     let span = exposure::Span::Head;
-    match result {
-        Ok(begun) => {
-            let is_slow = is_slow(shared, job, upstream, model, span, took);
-            let is_good = !begun.is_failure && !is_slow;
-            count(shared, job, upstream, span, is_good);
-        }
-        Err(Failure::Lost | Failure::Mismatched | Failure::TimedOut) => {
-            count(shared, job, upstream, span, false);
-        }
-        // It never ran, which says nothing of the version.
-        Err(_) => {}
-    }
+    let is_good = match head {
+        Head::Came => !is_slow(shared, job, upstream, model, span, took),
+        Head::Failed => false,
+        Head::NotRun => return,
+    };
+    count(shared, job, upstream, span, is_good);
 }
 
 /// Counts a stream whose events came `pace` apart.
