fix(cloverpost): restarts under an id, rows of other writers, a left version stays left

Change: knowledge of an upstream is of one process; a row that lacks a field, or has one of another kind, names no upstream, counts once and harms no other; the row of a roll-out keeps the version that the service moved away from.

--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -38,6 +38,8 @@
     options: Options,
     loads: HashMap<id::Upstream, Load>,
     others: Others,
+    /// Times that an upstream was seen to start again under its id.
+    restarts: HashMap<id::Upstream, u32>,
 }
 
 impl Balance {
@@ -48,6 +50,7 @@
             options,
             loads: HashMap::new(),
             others: Others::default(),
+            restarts: HashMap::new(),
         }
     }
 
@@ -59,6 +62,9 @@
         };
         self.loads
             .retain(|id, load| load.in_flight > 0 || known(id));
+        let loads = &self.loads;
+        self.restarts
+            .retain(|id, _| known(id) || loads.contains_key(id));
     }
 
     /// The best of `upstreams` for `want`; `None` if none can take it.
@@ -111,6 +117,20 @@
         load.in_flight == 1
     }
 
+    /// Forgets what was learnt of `upstream`, which started again under its id: it holds
+    /// none of the requests that it had, and is as healthy as a new one.
+    pub fn restart(&mut self, upstream: &id::Upstream) {
+        self.loads.remove(upstream);
+        *self.restarts.entry(upstream.clone()).or_default() += 1;
+    }
+
+    /// How often `upstream` was seen to start again. A request that began before counts
+    /// no more: taken off the load of the new process, it would make it look idle.
+    #[must_use]
+    pub fn restarts(&self, upstream: &id::Upstream) -> u32 {
+        self.restarts.get(upstream).copied().unwrap_or_default()
+    }
+
     /// Takes off `work` seconds whose answer has begun or will not.
     pub fn begin(&mut self, upstream: &id::Upstream, work: f64) {
         if let Some(load) = self.loads.get_mut(upstream) {
--- a/crates/cloverpost-core/src/balance/rate.rs
+++ b/crates/cloverpost-core/src/balance/rate.rs
@@ -1,6 +1,7 @@
-//! How long models take to read prompts.
+//! How long models take to read prompts and to write answers.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::id;
 
@@ -15,10 +16,19 @@
 /// Shortest prompt that tells something, in tokens.
 const LEAST: u32 = 500;
 
-/// Seconds for a token of a prompt, by model, learnt from answers.
+/// Seconds for a generated token until something is learnt.
+const PACE_START: f64 = 0.005;
+/// Bounds of what is believed of a model, in seconds for a generated token.
+const PACE_BOUNDS: (f64, f64) = (0.000_1, 0.2);
+/// Fewest tokens of an answer that tell something of the pace.
+const PACE_LEAST: u32 = 50;
+
+/// Seconds for a token that is read and for one that is generated, by model, learnt
+/// from answers.
 #[derive(Clone, Debug, Default)]
 pub struct Rate {
     seconds: HashMap<Option<id::Model>, f64>,
+    paces: HashMap<Option<id::Model>, f64>,
 }
 
 impl Rate {
@@ -43,4 +53,24 @@
         let found = found.min(*seconds * 2.0);
         *seconds = (*seconds + (found - *seconds) * PART).clamp(BOUNDS.0, BOUNDS.1);
     }
+
+    /// Time that `model` takes to generate `tokens`.
+    #[must_use]
+    pub fn lasts(&self, model: Option<&id::Model>, tokens: u32) -> Duration {
+        let pace = self.paces.get(&model.cloned()).copied();
+        Duration::from_secs_f64(pace.unwrap_or(PACE_START) * f64::from(tokens))
+    }
+
+    /// Takes in an answer of about `tokens` that took `took` from its head to its end.
+    ///
+    /// Callers' guesses of the length are right in the middle and far off at times, so
+    /// one that is far off moves the mean no further than twice.
+    pub fn learn_pace(&mut self, model: Option<&id::Model>, tokens: u32, took: Duration) {
+        if tokens < PACE_LEAST {
+            return;
+        }
+        let pace = self.paces.entry(model.cloned()).or_insert(PACE_START);
+        let found = (took.as_secs_f64() / f64::from(tokens)).min(*pace * 2.0);
+        *pace = (*pace + (found - *pace) * PART).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+    }
 }
--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -45,6 +45,19 @@
     pub version: Version,
     /// The store's clock, in milliseconds of an arbitrary start.
     pub now_ms: u64,
+    /// Rows that could not be read; they count as absent.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// A row that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Its key.
+    pub key: String,
+    /// Version of its write.
+    pub version: Version,
+    /// What is wrong with it.
+    pub reason: String,
 }
 
 impl Image {
--- a/crates/cloverpost-core/src/directory/rollout.rs
+++ b/crates/cloverpost-core/src/directory/rollout.rs
@@ -39,6 +39,8 @@
     pub target: id::Version,
     /// How far it is.
     pub state: State,
+    /// Version that it moves away from, where the roll-out before it tells.
+    pub base: Option<id::Version>,
     /// Version of the order's row; tells two orders of one target apart.
     pub order: Version,
     /// Reading of the store's clock when the first VM took up the order, in
@@ -52,4 +54,20 @@
     pub fn answers(&self, order: &Order, row: Version) -> bool {
         self.order == row && self.target == order.target
     }
+
+    /// The version that the service runs on besides the target of `next`, the order after
+    /// this one, as far as this roll-out tells.
+    ///
+    /// The upstreams of the version before the last one may still be listed, and answer,
+    /// when the next order comes. A session that had moved on would go back to them.
+    #[must_use]
+    pub fn base_of(&self, next: &Order) -> Option<&id::Version> {
+        let base = match self.state {
+            State::Completed => Some(&self.target),
+            State::Reverted => self.base.as_ref(),
+            // Cut short by the next order: sessions are on either version.
+            State::InProgress => None,
+        };
+        base.filter(|base| **base != next.target)
+    }
 }
--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -24,6 +24,8 @@
 pub struct Rollout {
     /// Version of the order's row; tells roll-outs apart.
     pub order: crate::directory::Version,
+    /// The version that the service moves away from, where that is known.
+    pub base: Option<id::Version>,
     /// The version that the service moves to.
     pub target: id::Version,
     /// Reading of the store's clock at its start, in milliseconds.
@@ -74,6 +76,11 @@
         }
         Self { index, pools }
     }
+
+    /// The upstreams of all services.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.pools.values().flat_map(|pool| &pool.upstreams)
+    }
 }
 
 /// Which versions of `service` take requests.
@@ -93,9 +100,25 @@
             .fold(Versions::default(), Versions::count)
             .allowed();
     };
-    match progress.filter(|progress| progress.answers(&order.value, order.version)) {
-        None => Allowed::Except(order.value.target.clone()),
-        Some(progress) => under_way(&order.value, progress),
+    match progress {
+        Some(progress) if progress.answers(&order.value, order.version) => {
+            under_way(&order.value, progress)
+        }
+        before => ordered(image, &order.value, before),
+    }
+}
+
+/// Versions that take requests between an order and its start. A version that nothing
+/// runs any more is no base: a service that refused everything would harm more.
+fn ordered(image: &Image, order: &Order, before: Option<&Progress>) -> Allowed {
+    let base = before.and_then(|before| before.base_of(order));
+    let mut upstreams = image.upstreams.rows.values().map(|row| &row.value);
+    let runs = |version: &&id::Version| {
+        upstreams.any(|one| one.service == order.service && one.version == **version)
+    };
+    match base.filter(runs) {
+        Some(base) => Allowed::Only(base.clone()),
+        None => Allowed::Except(order.target.clone()),
     }
 }
 
@@ -105,6 +128,7 @@
         State::Reverted => Allowed::Except(progress.target.clone()),
         State::InProgress => Allowed::Rollout(Rollout {
             order: progress.order,
+            base: progress.base.clone(),
             target: progress.target.clone(),
             started_ms: progress.started_ms,
             duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
--- a/crates/cloverpost-core/tests/behaviour/balance/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -16,6 +16,7 @@
         zone: zone.parse().unwrap(),
         version: "v1".parse().unwrap(),
         slots: 8,
+        born_ms: None,
         is_leaving: false,
     })
 }
@@ -245,3 +246,21 @@
     let silence = scene.balance.silence(&id, sent, scene.now);
     assert_eq!(silence, Duration::from_millis(100));
 }
+
+#[test]
+fn an_upstream_that_starts_again_is_as_good_as_new() {
+    // It failed until it was left out, with requests in flight. The process that starts
+    // under its id has none of them, and is sound as far as anybody knows.
+    let mut scene = Scene::new(&["a", "a"]);
+    let id = "i-0".parse().unwrap();
+    scene.balance.start(&id, 3.0);
+    scene.note(0, Event::Refused);
+    assert_eq!(scene.balance.restarts(&id), 0);
+    scene.balance.restart(&id);
+    assert_eq!(scene.balance.restarts(&id), 1);
+    let upstreams = scene.upstreams.clone();
+    let (taken, _) = scene.balance.occupancy(upstreams.iter());
+    assert_eq!(taken, 0);
+    scene.balance.start(&"i-1".parse().unwrap(), 0.2);
+    assert_eq!(scene.choose(), "i-0");
+}
--- a/crates/cloverpost-core/tests/behaviour/directory/image.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/image.rs
@@ -10,6 +10,7 @@
         rows: Rows::Upstreams(changes),
         version: Version::new(version),
         now_ms: 0,
+        unreadable: Vec::new(),
     }
 }
 
@@ -56,6 +57,7 @@
         },
         version: Version::new(version),
         now_ms: 0,
+        unreadable: Vec::new(),
     };
     let mut image = Image::default();
     image.replace(read(9, 4));
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -53,6 +53,7 @@
         zone: "a".parse().unwrap(),
         version: version.parse().unwrap(),
         slots: 4,
+        born_ms: None,
         is_leaving: false,
     }
 }
@@ -70,6 +71,7 @@
         service: "app".parse().unwrap(),
         target: target.parse().unwrap(),
         state,
+        base: None,
         order: Version::new(order),
         started_ms: 1_000,
     }
--- a/crates/cloverpost-core/tests/behaviour/directory/view.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/view.rs
@@ -1,6 +1,6 @@
 //! Which upstreams take requests.
 
-use cloverpost_core::directory::{Allowed, Image, Row, State, Upstream, Version, View};
+use cloverpost_core::directory::{Allowed, Image, Processes, Row, State, Upstream, Version, View};
 
 use super::{configuration, order, progress, upstream};
 
@@ -120,3 +120,76 @@
     let (first, second) = (first.index.unwrap(), second.index.unwrap());
     assert!(std::sync::Arc::ptr_eq(&first, &second));
 }
+
+/// Ids of the upstreams that `processes` takes for restarted when it sees `upstreams`.
+fn restarted(processes: &mut Processes, upstreams: &[Upstream]) -> Vec<String> {
+    let view = View::new(&image(upstreams), &[], &View::default());
+    let found = processes.note(&view);
+    found.iter().map(|one| one.id.to_string()).collect()
+}
+
+#[test]
+fn an_id_with_another_start_or_address_is_another_process() {
+    let born = |id: &str, born_ms| Upstream {
+        born_ms,
+        ..upstream(id, "v1")
+    };
+    let mut seen = Processes::default();
+    let (one, other) = (born("i-1", Some(5)), born("i-2", None));
+    assert!(restarted(&mut seen, &[one.clone(), other.clone()]).is_empty());
+    assert!(restarted(&mut seen, &[one.clone(), other.clone()]).is_empty());
+    let again = born("i-1", Some(9));
+    assert_eq!(restarted(&mut seen, &[again, other.clone()]), ["i-1"]);
+    let mut moved = other;
+    moved.address = "10.9.9.9:1".parse().unwrap();
+    assert_eq!(restarted(&mut seen, &[moved]), ["i-2"]);
+    // It was gone meanwhile.
+    assert_eq!(restarted(&mut seen, &[one]), ["i-1"]);
+}
+
+/// Upstreams of three versions, after a roll-out to v2 in `state` and with an order of v3.
+fn ordered_again(state: State) -> Image {
+    let mut image = image(&[
+        upstream("i-1", "v1"),
+        upstream("i-2", "v2"),
+        upstream("i-3", "v3"),
+    ]);
+    let orders = &mut image.orders.rows;
+    orders.insert("app".to_owned(), row(9, order("v3")));
+    let mut before = progress("v2", state, 7);
+    before.base = Some("v1".parse().unwrap());
+    image.progress.rows.insert("app".to_owned(), row(8, before));
+    image
+}
+
+#[test]
+fn a_version_that_was_left_gets_nothing_when_the_next_one_is_ordered() {
+    // A roll-out was completed and the next order comes while upstreams of the version
+    // before are still listed. A session that had moved on would go back to them.
+    let completed = ordered_again(State::Completed);
+    assert_eq!(allowed(&completed), Allowed::Only("v2".parse().unwrap()));
+    // The reverted version is as bad as before.
+    let reverted = ordered_again(State::Reverted);
+    assert_eq!(allowed(&reverted), Allowed::Only("v1".parse().unwrap()));
+    let cut_short = ordered_again(State::InProgress);
+    assert_eq!(allowed(&cut_short), Allowed::Except("v3".parse().unwrap()));
+}
+
+#[test]
+fn a_version_that_nothing_runs_any_more_is_no_base() {
+    let mut image = ordered_again(State::Completed);
+    image.upstreams.rows.remove("i-2");
+    assert_eq!(allowed(&image), Allowed::Except("v3".parse().unwrap()));
+}
+
+#[test]
+fn a_roll_out_under_way_knows_the_version_that_it_moves_away_from() {
+    let mut image = ordered_again(State::Completed);
+    let mut next = progress("v3", State::InProgress, 9);
+    next.base = Some("v2".parse().unwrap());
+    image.progress.rows.insert("app".to_owned(), row(10, next));
+    let Allowed::Rollout(rollout) = allowed(&image) else {
+        panic!("no roll-out");
+    };
+    assert_eq!(rollout.base, Some("v2".parse().unwrap()));
+}
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -13,6 +13,7 @@
 
 fn rollout() -> Rollout {
     Rollout {
+        base: None,
         order: Version::new(7),
         target: "v2".parse().unwrap(),
         started_ms: 50_000,
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -1,9 +1,8 @@
 //! What is believed of the surroundings, and how news changes it.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Page, Upstream, View};
+use cloverpost_core::directory::{Image, Page, Unreadable, Upstream, View};
 use cloverpost_core::{directory, time};
 use tokio::sync::watch;
 
@@ -16,6 +15,8 @@
 /// still used. Their entries lapse while the store is away; those that live are
 /// back within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// Unreadable rows that are remembered at most, so that each is told once; 200 bytes each.
+const MOST_UNREADABLE: usize = 1000;
 /// Time without such a message after which a VM follows the store itself: three are
 /// lost, and a change is still in force within two seconds.
 const FRESH: Duration = Duration::from_millis(1200);
@@ -25,6 +26,7 @@
         let now = self.now();
         self.heard = now;
         self.parts.shared.set_store_now_ms(page.now_ms);
+        self.note_unreadable(topic, &page.unreadable);
         if let Some(since) = self.lost.remove(&topic) {
             let away_ms = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
             log::info!(topic = topic.as_str(), away_ms; "the store answers again");
@@ -49,6 +51,29 @@
         }
     }
 
+    /// Tells of rows that cannot be read, once each: whole reads bring them again and
+    /// again.
+    fn note_unreadable(&mut self, topic: Topic, rows: &[Unreadable]) {
+        for row in rows {
+            let told = self.unreadable.get(&(topic, row.key.clone()));
+            if told == Some(&row.version) {
+                continue;
+            }
+            if self.unreadable.len() >= MOST_UNREADABLE {
+                self.unreadable.clear();
+            }
+            let metrics = &self.parts.shared.metrics;
+            let counter = metrics.unreadable_rows.with_label_values(&[topic.as_str()]);
+            counter.inc();
+            log::warn!(
+                topic = topic.as_str(), key = row.key.as_str(), version:% = row.version, why = row.reason.as_str();
+                "a row cannot be read and counts as absent"
+            );
+            let key = (topic, row.key.clone());
+            self.unreadable.insert(key, row.version);
+        }
+    }
+
     /// Remembers upstreams whose entries lapsed while the store was away.
     pub(super) fn note_missing(&mut self, before: &directory::Table<Upstream>, now: time::Moment) {
         let rows = &self.image.upstreams.rows;
@@ -106,7 +131,7 @@
             .metrics
             .configuration
             .set(i64::try_from(number).unwrap_or(i64::MAX));
-        shared.view.store(Arc::new(view));
+        shared.publish(view);
         let vms = u32::try_from(self.image.members.rows.len()).unwrap_or(u32::MAX);
         shared.split_budget(vms);
         self.choose_to_follow();
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Member, Upstream, Versions};
+use cloverpost_core::directory::{Image, Member, Upstream, Version, Versions};
 use cloverpost_core::time;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -55,6 +55,8 @@
     image: Image,
     /// Upstreams that are missing since an outage, and until when they are used.
     missing: HashMap<String, (Upstream, time::Moment)>,
+    /// Rows that cannot be read and were told of, in the version that was told.
+    unreadable: HashMap<(Topic, String), Version>,
     /// Topics on which the store does not answer.
     lost: HashMap<Topic, time::Moment>,
     /// When the store last came back.
@@ -88,6 +90,7 @@
             parts,
             image: Image::default(),
             missing: HashMap::new(),
+            unreadable: HashMap::new(),
             lost: HashMap::new(),
             returned: None,
             heard: time::Moment::default(),
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -31,6 +31,8 @@
     pub store_calls: IntCounterVec,
     /// Seconds of calls to the store that were answered.
     pub store_seconds: Histogram,
+    /// Rows of the store that could not be read, by topic; each version of one counts once.
+    pub unreadable_rows: IntCounterVec,
     /// Number of the configuration in force.
     pub configuration: IntGauge,
     /// Upstreams that take work.
@@ -106,6 +108,11 @@
                 &registry,
                 Histogram::with_opts(buckets("store_seconds", "seconds of calls to the store")),
             ),
+            unreadable_rows: counters(
+                "unreadable_rows_total",
+                "rows of the store that could not be read",
+                &["topic"],
+            ),
             configuration: gauge("configuration", "number of the configuration in force"),
             upstreams: gauge("upstreams", "upstreams that take work"),
             told_by_peers: counter("told_by_peers_total", "tables taken over from peers"),
--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -180,10 +180,11 @@
 /// The side of a roll-out: the one that the session is on, else by a hash that
 /// is the same on every VM.
 fn rollout_side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool, rollout: &Rollout) -> Side {
-    let old = Side::Except(rollout.target.clone());
+    let has = |side: &Side| pool.upstreams.iter().any(|one| side.takes(one));
     let new = Side::Only(rollout.target.clone());
+    let base = rollout.base.clone().map(Side::Only).filter(has);
+    let old = base.unwrap_or_else(|| Side::Except(rollout.target.clone()));
     let is_worse = shared.evidence().is_worse(&job.service, rollout.order);
-    let has = |side: &Side| pool.upstreams.iter().any(|one| side.takes(one));
     if is_worse || !has(&new) {
         return old;
     }
--- a/crates/cloverpost/src/gateway/place.rs
+++ b/crates/cloverpost/src/gateway/place.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use cloverpost_core::balance::Event;
-use cloverpost_core::directory;
+use cloverpost_core::balance::{self, Event};
+use cloverpost_core::{directory, id};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -19,6 +19,8 @@
     pub upstream: Arc<directory::Upstream>,
     /// Whether nothing else of this VM was there when it was taken.
     pub is_first: bool,
+    /// Restarts of the upstream when it was taken.
+    restarts: u32,
     /// Seconds that the upstream is busy before the answer begins.
     work: f64,
     has_begun: AtomicBool,
@@ -27,11 +29,16 @@
 impl<C: Codec> Place<C> {
     /// Counts a request on `upstream` that takes `work` seconds to begin.
     pub fn take(shared: Arc<Shared<C>>, upstream: Arc<directory::Upstream>, work: f64) -> Self {
-        let is_first = shared.balance().start(&upstream.id, work);
+        let (is_first, restarts) = {
+            let mut balance = shared.balance();
+            let is_first = balance.start(&upstream.id, work);
+            (is_first, balance.restarts(&upstream.id))
+        };
         Self {
             shared,
             upstream,
             is_first,
+            restarts,
             work,
             has_begun: AtomicBool::new(false),
         }
@@ -40,26 +47,38 @@
     /// Notes that its answer has begun, or that none will.
     pub fn begin(&self) {
         if !self.has_begun.swap(true, Ordering::Relaxed) {
-            self.shared.balance().begin(&self.upstream.id, self.work);
+            self.with_balance(|balance, id| balance.begin(id, self.work));
         }
     }
 
     /// Notes what the request shows of the upstream.
     pub fn note(&self, event: Event) {
         let now = self.shared.clock.now();
-        let is_shunned = self.shared.balance().note(&self.upstream.id, event, now);
-        if is_shunned {
+        let is_shunned = self.with_balance(|balance, id| balance.note(id, event, now));
+        if is_shunned == Some(true) {
             log::warn!(
                 upstream = self.upstream.id.as_str(), service = self.upstream.service.as_str(), why:? = event;
                 "upstream left out for a while"
             );
         }
     }
+
+    /// Changes what is believed of the upstream, unless it has started again since the
+    /// place was taken.
+    fn with_balance<T>(
+        &self,
+        act: impl FnOnce(&mut balance::Balance, &id::Upstream) -> T,
+    ) -> Option<T> {
+        let id = &self.upstream.id;
+        let mut balance = self.shared.balance();
+        let is_current = balance.restarts(id) == self.restarts;
+        is_current.then(|| act(&mut balance, id))
+    }
 }
 
 impl<C: Codec> Drop for Place<C> {
     fn drop(&mut self) {
         self.begin();
-        self.shared.balance().finish(&self.upstream.id);
+        self.with_balance(balance::Balance::finish);
     }
 }
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -144,6 +144,12 @@
         list.push(Kept { connection, since });
     }
 
+    /// Closes the kept connections to `upstream`, which started again under its id: they
+    /// lead to a process that is gone, and a request sent into one has an unknown end.
+    pub fn forget(&self, upstream: &id::Upstream) {
+        self.kept().remove(upstream);
+    }
+
     /// Closes connections that are too old to be used, and those to upstreams that
     /// `view` does not know.
     pub fn sweep(&self, view: &directory::View) {
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -63,7 +63,12 @@
         .filter(|progress| progress.answers(order, version));
     let Some(current) = current else {
         return Some(Step {
-            progress: begin(order, version, shared.store_now_ms()),
+            progress: begin(
+                order,
+                version,
+                row.map(|row| &row.value),
+                shared.store_now_ms(),
+            ),
             expected,
             why: "ordered",
             evidence: String::new(),
@@ -85,11 +90,12 @@
     })
 }
 
-fn begin(order: &Order, version: Version, now_ms: u64) -> Progress {
+fn begin(order: &Order, version: Version, before: Option<&Progress>, now_ms: u64) -> Progress {
     Progress {
         service: order.service.clone(),
         target: order.target.clone(),
         state: State::InProgress,
+        base: before.and_then(|before| before.base_of(order)).cloned(),
         order: version,
         started_ms: now_ms,
     }
@@ -108,6 +114,7 @@
     }
     let rollout = directory::Rollout {
         order: current.order,
+        base: current.base.clone(),
         target: order.target.clone(),
         started_ms: current.started_ms,
         duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
-use cloverpost_core::{balance, budget, directory, exposure, id, time};
+use cloverpost_core::{balance, budget, directory, escalation, exposure, id, time};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -42,6 +42,8 @@
     pub clock: Clock,
     /// What is believed of the surroundings.
     pub view: ArcSwap<directory::View>,
+    /// Whether requests can be routed: a configuration and upstreams are known.
+    pub is_routable: watch::Sender<bool>,
     /// Connections to upstreams.
     pub pool: Pool,
     /// Counters.
@@ -50,6 +52,9 @@
     pub phase: watch::Sender<Phase>,
     balance: Mutex<balance::Balance>,
     rate: Mutex<balance::Rate>,
+    sizes: Mutex<escalation::Sizes>,
+    /// Processes behind the ids of upstreams.
+    processes: Mutex<directory::Processes>,
     sessions: Mutex<exposure::Sessions>,
     pins: Mutex<exposure::Pins>,
     tallies: Mutex<exposure::Tallies>,
@@ -78,11 +83,14 @@
             codec,
             clock,
             view: ArcSwap::default(),
+            is_routable: watch::Sender::new(false),
             pool: Pool::new(clock),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Serving),
             balance: Mutex::default(),
             rate: Mutex::default(),
+            sizes: Mutex::default(),
+            processes: Mutex::default(),
             sessions: Mutex::default(),
             pins: Mutex::default(),
             tallies: Mutex::default(),
@@ -103,6 +111,11 @@
         lock(&self.rate)
     }
 
+    /// Usual sizes of requests by route.
+    pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
+        lock(&self.sizes)
+    }
+
     /// Versions of the sessions that were served lately.
     pub fn sessions(&self) -> MutexGuard<'_, exposure::Sessions> {
         lock(&self.sessions)
@@ -181,6 +194,31 @@
         self.store_offset.store(theirs - own, Ordering::Relaxed);
     }
 
+    /// Forgets what was learnt of `upstream`, which started again under its id.
+    fn restart(&self, upstream: &id::Upstream) {
+        self.balance().restart(upstream);
+        self.pool.forget(upstream);
+    }
+
+    /// Publishes what is believed from now on.
+    pub fn publish(&self, view: directory::View) {
+        for upstream in lock(&self.processes).note(&view) {
+            log::info!(
+                upstream = upstream.id.as_str(), service = upstream.service.as_str(),
+                born_ms = upstream.born_ms.unwrap_or_default();
+                "upstream has started again, what was learnt of it is forgotten"
+            );
+            self.restart(&upstream.id);
+        }
+        let is_routable = view.index.is_some() && !view.pools.is_empty();
+        self.view.store(Arc::new(view));
+        self.is_routable.send_if_modified(|was| {
+            let becomes = is_routable && !*was;
+            *was |= is_routable;
+            becomes
+        });
+    }
+
     /// Whether this VM should get new connections.
     pub fn is_ready(&self) -> bool {
         *self.phase.borrow() == Phase::Serving && self.view.load().index.is_some()
