fix(cloverpost): callers wait for the first configuration, half a second at most

Ruled out: a slow start.

Change: within the first 0.5 s of a process a request waits for the first view. Beyond that, and without a store, the refusal comes at once as before; both are tests, the first fails on the code before.

--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -1,6 +1,7 @@
 //! Admits a request and hands it on.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use cloverpost_core::refusal::{Code, Refusal};
@@ -64,6 +65,7 @@
     started: time::Moment,
 ) -> Result<Job, Refused> {
     let (head, body) = request.into_parts();
+    until_routable(shared).await;
     let view = shared.view.load_full();
     let Some(index) = view.index.clone() else {
         let refusal = Refusal::not_run(Code::Unconfirmed, "no configuration is known yet");
@@ -116,6 +118,27 @@
     })
 }
 
+/// Longest time for which a request waits for the first configuration.
+///
+/// After a loss of all VMs callers come back in the moment in which the first of them
+/// listens again, most of them for the last time, and a refusal ends their request. A
+/// process that reaches the store knows configuration and upstreams 0.1 s after its start;
+/// one that does not in five times that has no store, and refuses at once from then on
+/// what it can't route.
+const FIRST_VIEW: Duration = Duration::from_millis(500);
+
+/// Waits until requests can be routed, within the first moments of a process.
+async fn until_routable<C: Codec>(shared: &Shared<C>) {
+    if *shared.is_routable.borrow() {
+        return;
+    }
+    let age = shared.clock.now().since_start();
+    let left = FIRST_VIEW.saturating_sub(age);
+    let mut is_routable = shared.is_routable.subscribe();
+    // Out of time it is refused as before; the sender lives as long as the state.
+    let _ = tokio::time::timeout(left, is_routable.wait_for(|is| *is)).await;
+}
+
 async fn receive(
     body: Incoming,
     limits: &directory::Limits,
