fix(cloverpost-core): a new version's times are held against calm times of the old one too

The median that the new version is held against follows the old one's times within a second, so a burst makes answers eight times as slow look usual; the version is trusted and gets everything. Ruled out: raising a constant (the same burst moves the median past it).

Change: the new version is held against the lesser of that median and one that moves a tenth as fast.

--- a/crates/cloverpost-core/src/evidence/mod.rs
+++ b/crates/cloverpost-core/src/evidence/mod.rs
@@ -11,9 +11,11 @@
 mod key;
 mod ledger;
 mod source;
+mod usual;
 
 pub use counts::Counts;
 pub use digest::{Digest, Row};
 pub use key::Key;
 pub use ledger::Ledger;
 pub use source::Source;
+pub use usual::Usual;
--- a/crates/cloverpost-core/tests/behaviour/evidence/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/evidence/mod.rs
@@ -1,5 +1,7 @@
 //! Pooled ratings.
 
+mod usual;
+
 use cloverpost_core::{evidence, id};
 use proptest::prelude::*;
 use proptest::test_runner;
--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/evidence/usual.rs
@@ -0,0 +1,46 @@
+//! The usual time of a kind of answer.
+
+use cloverpost_core::evidence::Usual;
+
+/// Medians after `count` answers of the old version around `seconds`.
+fn seen(mut usual: Usual, count: u32, seconds: f64) -> Usual {
+    for number in 0..count {
+        let spread = f64::from(number % 7) / 10.0 + 0.7;
+        usual.is_slow(seconds * spread, true);
+    }
+    usual
+}
+
+#[test]
+fn an_answer_of_several_times_the_median_is_slow_on_either_side() {
+    let mut usual = seen(Usual::new(0.1), 200, 0.1);
+    assert!(usual.is_slow(0.4, true));
+    assert!(usual.is_slow(0.4, false));
+    assert!(!usual.is_slow(0.2, true));
+    assert!(!usual.is_slow(0.2, false));
+}
+
+#[test]
+fn a_slow_version_is_told_while_a_burst_makes_the_old_one_slow_as_well() {
+    // A version that takes eight times as long gets its small share while a burst makes
+    // the old one's answers five times as slow. Held against these, the slow answers look
+    // usual; the version was trusted, got all requests, and hundreds of callers waited.
+    let calm = seen(Usual::new(0.1), 300, 0.1);
+    let mut burst = seen(calm, 120, 0.5);
+    assert!(burst.is_slow(0.8, false));
+    assert!(!burst.is_slow(0.15, false));
+    assert!(!burst.is_slow(0.8, true));
+}
+
+#[test]
+fn a_load_that_lasts_becomes_the_usual_for_both() {
+    let calm = seen(Usual::new(0.1), 300, 0.1);
+    let mut busy = seen(calm, 3_000, 0.5);
+    assert!(!busy.is_slow(0.8, false));
+}
+
+#[test]
+fn a_millisecond_is_not_slow_against_less() {
+    let mut usual = seen(Usual::new(0.001), 100, 0.001);
+    assert!(!usual.is_slow(0.02, false));
+}
--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -4,18 +4,9 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::Version;
-use cloverpost_core::evidence::{Counts, Digest, Ledger, Row, Source};
+use cloverpost_core::evidence::{Counts, Digest, Ledger, Row, Source, Usual};
 use cloverpost_core::{exposure, id, rollout};
 
-/// Multiple of the median time from which on it counts against its version. Prompts
-/// differ in length by as much, but on both versions alike.
-const SLOW: f64 = 2.5;
-/// Least time above the median that counts, in seconds. A new version's connections
-/// are new, and against a median of a millisecond opening one looks slow.
-const LEAST: f64 = 0.03;
-/// Step by which the median moves with each time, as a part of it. A mean would not
-/// do: a few long prompts raise it so far that answers eight times as slow pass.
-const STEP: f64 = 0.03;
 /// Share of the roll-outs of good versions that may be halted. To halt a good one
 /// delays it; to miss a bad one harms every caller, and with 0.01 one in three of those
 /// that answered half their requests eight times as slow was missed. The true share lies
@@ -44,7 +35,7 @@
 pub struct Evidence {
     own: Source,
     ledger: Ledger<exposure::Key>,
-    usual: HashMap<Timed, f64>,
+    usual: HashMap<Timed, Usual>,
     /// Roll-outs that were found bad here.
     worse: BTreeSet<(id::Pool, Version)>,
 }
@@ -61,20 +52,11 @@
     }
 
     /// Whether `took` is long against the usual time of the old version, which learns
-    /// from it if `is_old`. Learnt from the new one too, a slow version would become the
-    /// usual within twenty answers once it gets everything.
+    /// from it if `is_old`.
     pub fn is_slow(&mut self, timed: Timed, took: Duration, is_old: bool) -> bool {
         let took = took.as_secs_f64();
-        let usual = self.usual.entry(timed).or_insert(took);
-        let is_slow = took > *usual * SLOW && took > *usual + LEAST;
-        if is_old {
-            *usual *= if took > *usual {
-                1.0 + STEP
-            } else {
-                1.0 - STEP
-            };
-        }
-        is_slow
+        let usual = self.usual.entry(timed).or_insert(Usual::new(took));
+        usual.is_slow(took, is_old)
     }
 
     /// Counts an answer.
