perf(cloverpost): the larger model is asked by what it gains, costs and holds up

They are the largest price too.

Change: weighed as in core::escalation, by the catalogue's prices, the caller's guess of the length, learnt paces and the wait that this request saw; not asked where its answer can't end in the caller's time, or the caller has come back after a loss. Every weight is a setting, as are those of the choice between upstreams.

--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -204,16 +204,16 @@
     ) -> f64 {
         let options = &self.options;
         let (pending, in_flight) = self.others.load(&upstream.id, now);
-        let pending = load.pending + pending;
-        let in_flight = load.in_flight + in_flight;
+        let pending = load.pending + pending * options.others;
+        let in_flight = f64::from(load.in_flight) + f64::from(in_flight) * options.others;
         let slowness = load.slowness(typical.latency);
         let remembers = homes.contains(&&upstream.id);
         let work = if remembers {
-            want.work - want.shared
+            want.work - want.shared * options.home
         } else {
             want.work
         };
-        let full = f64::from(in_flight + 1) / f64::from(upstream.slots.max(1));
+        let full = (in_flight + 1.0) / f64::from(upstream.slots.max(1));
         let running = full * options.running + (full - options.roomy).max(0.0) * options.full;
         let is_far = upstream.zone != *want.zone;
         let far = if is_far { options.far } else { 0.0 };
--- a/crates/cloverpost-core/src/balance/options.rs
+++ b/crates/cloverpost-core/src/balance/options.rs
@@ -5,6 +5,11 @@
 /// Weights are in seconds that a request would rather wait.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
+    /// Part of the shared prompt that counts as remembered by the upstreams that are likely
+    /// to remember it, from 0 to 1.
+    pub home: f64,
+    /// Weight of what other VMs say that they cause, from 0 to 1.
+    pub others: f64,
     /// Against an upstream of another availability zone: a prompt of 12 kB costs a
     /// thirtieth of its worth there, and a second late costs a third.
     pub far: f64,
@@ -32,6 +37,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
+            home: 1.0,
+            others: 1.0,
             far: 0.2,
             running: 0.3,
             roomy: 0.7,
--- a/crates/cloverpost-core/src/escalation/mod.rs
+++ b/crates/cloverpost-core/src/escalation/mod.rs
@@ -14,10 +14,12 @@
 
 mod case;
 mod options;
+mod returns;
 mod sizes;
 mod weighed;
 
 pub use case::Case;
 pub use options::Options;
+pub use returns::Returns;
 pub use sizes::Sizes;
 pub use weighed::{Weighed, weigh};
--- a/crates/cloverpost-core/src/escalation/options.rs
+++ b/crates/cloverpost-core/src/escalation/options.rs
@@ -7,7 +7,8 @@
     /// Worth of a right answer on a route of rank 0, in the unit of models' prices. Three
     /// deployments state 5.3 to 6.3.
     pub top_worth: f64,
-    /// Worth of a right answer against one of the rank before. Stated are 0.21 to 0.27.
+    /// Worth of a right answer against one of the rank before. Stated are 0.21 to 0.27, and
+    /// more weight on the worst-served kind of request.
     pub rank_part: f64,
     /// Opinion at which half the answers are wrong. On quiet days the credit grew by the
     /// whole worth of each answer asked again below 40, and no more above 60.
@@ -27,12 +28,12 @@
     fn default() -> Self {
         Self {
             top_worth: 5.5,
-            rank_part: 0.25,
-            even: 47.0,
+            rank_part: 0.3,
+            even: 46.0,
             spread: 5.0,
-            price_weight: 1.0,
+            price_weight: 0.8,
             delay_weight: 6.0,
-            second_weight: 0.03,
+            second_weight: 0.05,
         }
     }
 }
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -40,6 +40,8 @@
     pub prompt: Vec<Part>,
     /// Tokens of the prompt and tokens generated at most.
     pub tokens: Option<Tokens>,
+    /// Tokens that the caller expects to be generated; often far off.
+    pub expected: Option<u32>,
     /// Last event that the caller has of a stream.
     pub last_event: Option<String>,
 }
@@ -70,6 +72,13 @@
         self.tokens.map_or(parts, |tokens| tokens.prompt)
     }
 
+    /// Tokens that the answer is likely to have.
+    #[must_use]
+    pub fn generated_tokens(&self) -> u32 {
+        let most = self.tokens.map(|tokens| tokens.generated);
+        self.expected.or(most).unwrap_or_default()
+    }
+
     /// Tokens at the start of the prompt that other requests share.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -8,7 +8,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cloverpost_core::id;
+use cloverpost_core::{balance, escalation, id};
 
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +41,10 @@
     pub exposure_share: f64,
     /// Requests that it may get on top, over all VMs.
     pub exposure_slack: f64,
+    /// Weights of the choice between upstreams; read at the start only.
+    pub choice: balance::Options,
+    /// Weights of the choice between models.
+    pub escalation: escalation::Options,
     /// Descriptors that the process may open.
     pub max_descriptors: u32,
 }
@@ -92,11 +96,17 @@
 const SECONDS: &str = "seconds, 0 or more";
 /// Accepted form of a share.
 const SHARE: &str = "a number from 0 to 1";
+/// Accepted form of a worth.
+const WORTH: &str = "a number from 0 to 1000000";
+/// Accepted form of a weight.
+const WEIGHT: &str = "a number from 0 to 1000";
+/// Accepted form of a model's opinion.
+const OPINION: &str = "a number from 0 to 100";
 /// Accepted form of a count.
 const COUNT: &str = "a whole number";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 15] = [
+const NAMES: [&str; 30] = [
     "vm",
     "zone",
     "caller-addr",
@@ -111,6 +121,21 @@
     "retry-slack",
     "exposure-share",
     "exposure-slack",
+    "choice-home",
+    "choice-others",
+    "choice-far",
+    "choice-running",
+    "choice-full",
+    "choice-failing",
+    "choice-slow",
+    "choice-spread",
+    "escalation-top-worth",
+    "escalation-rank-part",
+    "escalation-even",
+    "escalation-spread",
+    "escalation-price-weight",
+    "escalation-delay-weight",
+    "escalation-second-weight",
     "max-descriptors",
 ];
 
@@ -158,6 +183,8 @@
         let retry_slack = self.count("retry-slack", 10);
         let exposure_share = self.number("exposure-share", 0.1, 1.0, SHARE);
         let exposure_slack = self.number("exposure-slack", 0.0, 1e6, "a number from 0 to 1000000");
+        let choice = self.choice();
+        let escalation = self.escalation();
         let max_descriptors = self.count("max-descriptors", 1024);
         Some(Settings {
             vm: vm?,
@@ -174,10 +201,71 @@
             retry_slack: retry_slack?,
             exposure_share: exposure_share?,
             exposure_slack: exposure_slack?,
+            choice: choice?,
+            escalation: escalation?,
             max_descriptors: max_descriptors?,
         })
     }
 
+    fn choice(&mut self) -> Option<balance::Options> {
+        let usual = balance::Options::default();
+        let home = self.number("choice-home", usual.home, 1.0, SHARE);
+        let others = self.number("choice-others", usual.others, 1.0, SHARE);
+        let far = self.number("choice-far", usual.far, 1000.0, WEIGHT);
+        let running = self.number("choice-running", usual.running, 1000.0, WEIGHT);
+        let full = self.number("choice-full", usual.full, 1000.0, WEIGHT);
+        let failing = self.number("choice-failing", usual.failing, 1000.0, WEIGHT);
+        let slow = self.number("choice-slow", usual.slow, 1000.0, WEIGHT);
+        let spread = self.number("choice-spread", usual.spread, 1000.0, WEIGHT);
+        Some(balance::Options {
+            home: home?,
+            others: others?,
+            far: far?,
+            running: running?,
+            full: full?,
+            failing: failing?,
+            slow: slow?,
+            spread: spread?,
+            ..usual
+        })
+    }
+
+    fn escalation(&mut self) -> Option<escalation::Options> {
+        let usual = escalation::Options::default();
+        let top_worth = self.number("escalation-top-worth", usual.top_worth, 1e6, WORTH);
+        let rank_part = self.number("escalation-rank-part", usual.rank_part, 1.0, SHARE);
+        let even = self.number("escalation-even", usual.even, 100.0, OPINION);
+        let spread = self.number("escalation-spread", usual.spread, 100.0, OPINION);
+        let price_weight = self.number(
+            "escalation-price-weight",
+            usual.price_weight,
+            1000.0,
+            WEIGHT,
+        );
+        let delay_weight = self.number(
+            "escalation-delay-weight",
+            usual.delay_weight,
+            1000.0,
+            WEIGHT,
+        );
+        let second_weight = self.number(
+            "escalation-second-weight",
+            usual.second_weight,
+            1000.0,
+            WEIGHT,
+        );
+        Some(escalation::Options {
+            top_worth: top_worth?,
+            rank_part: rank_part?,
+            even: even?,
+            // Opinions that tell nothing apart would divide by zero.
+            spread: spread?.max(0.1),
+            price_weight: price_weight?,
+            delay_weight: delay_weight?,
+            second_weight: second_weight?,
+        })
+    }
+
     fn text<T: FromStr>(&mut self, name: &'static str, form: &'static str) -> Option<T> {
         let Some(value) = self.table.get(name) else {
             self.faults.push(Fault::Missing(name, form));
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -53,6 +53,7 @@
     balance: Mutex<balance::Balance>,
     rate: Mutex<balance::Rate>,
     sizes: Mutex<escalation::Sizes>,
+    returns: Mutex<escalation::Returns>,
     /// Processes behind the ids of upstreams.
     processes: Mutex<directory::Processes>,
     sessions: Mutex<exposure::Sessions>,
@@ -78,6 +79,7 @@
             // their own; nothing orders the names.
             process: id::Process::new(rand::random()),
         };
+        let balance = balance::Balance::new(settings.choice);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -87,9 +89,10 @@
             pool: Pool::new(clock),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Serving),
-            balance: Mutex::default(),
+            balance: Mutex::new(balance),
             rate: Mutex::default(),
             sizes: Mutex::default(),
+            returns: Mutex::default(),
             processes: Mutex::default(),
             sessions: Mutex::default(),
             pins: Mutex::default(),
@@ -116,6 +119,11 @@
         lock(&self.sizes)
     }
 
+    /// How long callers of each route wait.
+    pub fn returns(&self) -> MutexGuard<'_, escalation::Returns> {
+        lock(&self.returns)
+    }
+
     /// Versions of the sessions that were served lately.
     pub fn sessions(&self) -> MutexGuard<'_, exposure::Sessions> {
         lock(&self.sessions)
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -255,10 +255,22 @@
         self.outcome = Some("answered");
         self.weigh_pace(PACE_LEAST);
         if let Some(running) = self.running.take() {
+            self.learn_pace(&running);
             running.place.note(Event::Succeeded);
             self.shared.pool.keep(running.connection);
         }
     }
+
+    /// Learns from a run that made the whole answer how long such answers take.
+    fn learn_pace(&self, running: &Running<C>) {
+        if running.before > 0 {
+            return;
+        }
+        let took = self.shared.clock.now().since(running.began);
+        let tokens = self.job.asked.generated_tokens();
+        let mut rate = self.shared.rate();
+        rate.learn_pace(self.model.as_ref(), tokens, took);
+    }
 }
 
 /// Events after which the pace of a stream is counted. Other requests' prompts hold up
--- a/crates/cloverpost/tests/behaviour/gateway/settings.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cloverpost::gateway::Settings;
+use cloverpost_core::{balance, escalation};
 
 const WHOLE: &str = r#"
 vm = "vm-1"
@@ -67,3 +68,18 @@
             .starts_with("not TOML")
     );
 }
+
+#[test]
+fn weights_of_decisions_have_defaults_and_bounds() {
+    let settings: Settings = WHOLE.parse().unwrap();
+    assert_eq!(settings.escalation, escalation::Options::default());
+    assert_eq!(settings.choice, balance::Options::default());
+    let text = format!("{WHOLE}escalation-even = 40\nchoice-home = 0\nchoice-far = 0.5\n");
+    let settings: Settings = text.parse().unwrap();
+    assert!((settings.escalation.even - 40.0).abs() < f64::EPSILON);
+    assert!(settings.choice.home.abs() < f64::EPSILON);
+    assert!((settings.choice.far - 0.5).abs() < f64::EPSILON);
+    let wrong = format!("{WHOLE}escalation-even = 101\nchoice-home = 2\nchoice-far = \"near\"\n");
+    let told = wrong.parse::<Settings>().unwrap_err().to_string();
+    assert_eq!(told.lines().count(), 3, "{told}");
+}
