perf(cloverpost-core): paces of models are known after the first answers

A VM asks that model about once a second, believed it to read three times as fast as it does, and learnt a twentieth of the difference from each answer: for half a minute its prompts counted for a third of their time, in the choice of an upstream and in whether the larger model could answer in time.

Change: the first figures count for more. The test fails on the code before.

--- a/crates/cloverpost-core/src/balance/rate.rs
+++ b/crates/cloverpost-core/src/balance/rate.rs
@@ -9,7 +9,7 @@
 const START: f64 = 0.000_01;
 /// Bounds of what is believed of a model, in seconds a token.
 const BOUNDS: (f64, f64) = (0.000_000_5, 0.000_2);
-/// Part of a new answer in the mean.
+/// Part of a new answer in the mean, once some are known.
 const PART: f64 = 0.05;
 /// Time to a first token that does not depend on the prompt, in seconds.
 const FIXED: f64 = 0.05;
@@ -24,20 +24,45 @@
 /// Fewest tokens of an answer that tell something of the pace.
 const PACE_LEAST: u32 = 50;
 
+/// A mean that forgets.
+///
+/// The first figures count for more. A VM asks a large model once in a second; with each
+/// figure a twentieth of the mean it took half a minute to learn that such a model reads
+/// three times as slowly as believed, and until then piled long prompts on one engine.
+#[derive(Clone, Copy, Debug)]
+struct Mean {
+    value: f64,
+    seen: u32,
+}
+
+impl Mean {
+    const fn new(value: f64) -> Self {
+        Self { value, seen: 0 }
+    }
+
+    /// Takes in a figure, at most twice the mean, within `bounds`.
+    fn take(&mut self, found: f64, bounds: (f64, f64)) {
+        self.seen = self.seen.saturating_add(1);
+        let part = (1.0 / f64::from(self.seen + 1)).max(PART);
+        let found = found.min(self.value * 2.0);
+        self.value = (self.value + (found - self.value) * part).clamp(bounds.0, bounds.1);
+    }
+}
+
 /// Seconds for a token that is read and for one that is generated, by model, learnt
 /// from answers.
 #[derive(Clone, Debug, Default)]
 pub struct Rate {
-    seconds: HashMap<Option<id::Model>, f64>,
-    paces: HashMap<Option<id::Model>, f64>,
+    seconds: HashMap<Option<id::Model>, Mean>,
+    paces: HashMap<Option<id::Model>, Mean>,
 }
 
 impl Rate {
     /// Seconds that `model` takes to read `tokens`.
     #[must_use]
     pub fn work(&self, model: Option<&id::Model>, tokens: u32) -> f64 {
-        let seconds = self.seconds.get(&model.cloned()).copied();
-        seconds.unwrap_or(START) * f64::from(tokens)
+        let mean = self.seconds.get(&model.cloned());
+        mean.map_or(START, |mean| mean.value) * f64::from(tokens)
     }
 
     /// Takes in an answer that began `took` seconds after its prompt of `tokens` was
@@ -50,16 +75,16 @@
             return;
         }
         let found = (took - FIXED).max(0.0) / f64::from(tokens);
-        let seconds = self.seconds.entry(model.cloned()).or_insert(START);
-        let found = found.min(*seconds * 2.0);
-        *seconds = (*seconds + (found - *seconds) * PART).clamp(BOUNDS.0, BOUNDS.1);
+        let mean = self.seconds.entry(model.cloned());
+        mean.or_insert(Mean::new(START)).take(found, BOUNDS);
     }
 
     /// Time that `model` takes to generate `tokens`.
     #[must_use]
     pub fn lasts(&self, model: Option<&id::Model>, tokens: u32) -> Duration {
-        let pace = self.paces.get(&model.cloned()).copied();
-        Duration::from_secs_f64(pace.unwrap_or(PACE_START) * f64::from(tokens))
+        let mean = self.paces.get(&model.cloned());
+        let pace = mean.map_or(PACE_START, |mean| mean.value);
+        Duration::from_secs_f64(pace * f64::from(tokens))
     }
 
     /// Takes in an answer of about `tokens` that took `took` from its head to its end.
@@ -70,8 +95,9 @@
         if tokens < PACE_LEAST {
             return;
         }
-        let pace = self.paces.entry(model.cloned()).or_insert(PACE_START);
-        let found = (took.as_secs_f64() / f64::from(tokens)).min(*pace * 2.0);
-        *pace = (*pace + (found - *pace) * PART).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let found = took.as_secs_f64() / f64::from(tokens);
+        let mean = self.paces.entry(model.cloned());
+        mean.or_insert(Mean::new(PACE_START))
+            .take(found, PACE_BOUNDS);
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/balance/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -264,3 +264,39 @@
     scene.balance.start(&"i-1".parse().unwrap(), 0.2);
     assert_eq!(scene.choose(), "i-0");
 }
+
+#[test]
+fn a_model_that_reads_slowly_is_known_after_a_few_answers() {
+    // A large model reads three times as slowly as is believed of any. Believed to be
+    // fast, its prompts were piled on one engine for the half minute that it took to learn.
+    let mut rate = Rate::default();
+    let model = "large".parse().unwrap();
+    let true_s = 0.000_033 * 10_000.0;
+    for _ in 0..6 {
+        rate.learn(Some(&model), 10_000, 0.05 + true_s);
+    }
+    let believed = rate.work(Some(&model), 10_000);
+    assert!((believed / true_s - 1.0).abs() < 0.3, "{believed}");
+    // One answer that waited for others changes little afterwards.
+    for _ in 0..30 {
+        rate.learn(Some(&model), 10_000, 0.05 + true_s);
+    }
+    rate.learn(Some(&model), 10_000, 5.0);
+    let believed = rate.work(Some(&model), 10_000);
+    assert!(believed < true_s * 1.1, "{believed}");
+}
+
+#[test]
+fn the_length_of_an_answer_is_learnt_from_the_first_ones() {
+    let mut rate = Rate::default();
+    let small = "small".parse().unwrap();
+    for _ in 0..8 {
+        rate.learn_pace(Some(&small), 400, Duration::from_millis(600));
+    }
+    let lasts = rate.lasts(Some(&small), 400).as_secs_f64();
+    assert!((0.4..1.2).contains(&lasts), "{lasts}");
+    // An answer of some tokens tells nothing of the pace.
+    rate.learn_pace(Some(&small), 4, Duration::from_mins(1));
+    let after = rate.lasts(Some(&small), 400).as_secs_f64();
+    assert!((after - lasts).abs() < f64::EPSILON);
+}
