fix(cloverpost-core): a reverted version gets nothing when the next one is ordered

Ruled out: a second roll-out that overlaps the first.

Change: without a roll-out before, the base is the version that most upstreams run, and never one that was just reverted. Test: a reverted version still listed at the next order; it fails on the code before (all but v3).

--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -36,4 +36,4 @@
 pub use service::{Model, Service};
 pub use table::{Change, Row, Table, Version};
 pub use upstream::Upstream;
-pub use view::{Allowed, Pool, Rollout, View};
+pub use view::{Allowed, Pool, Rollout, View, base};
--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -111,13 +111,14 @@
 /// Versions that take requests between an order and its start. A version that nothing
 /// runs any more is no base: a service that refused everything would harm more.
 fn ordered(image: &Image, order: &Order, before: Option<&Progress>) -> Allowed {
-    let base = before.and_then(|before| before.base_of(order));
-    let mut upstreams = image.upstreams.rows.values().map(|row| &row.value);
-    let runs = |version: &&id::Version| {
-        upstreams.any(|one| one.service == order.service && one.version == **version)
+    let other = before.filter(|before| before.target != order.target);
+    let base = other.and_then(|_| base(image, order));
+    let runs = |version: &id::Version| {
+        let mut upstreams = image.upstreams.rows.values().map(|row| &row.value);
+        upstreams.any(|one| one.service == order.service && one.version == *version)
     };
     match base.filter(runs) {
-        Some(base) => Allowed::Only(base.clone()),
+        Some(base) => Allowed::Only(base),
         None => Allowed::Except(order.target.clone()),
     }
 }
@@ -136,6 +137,34 @@
     }
 }
 
+/// The version that `order` moves its service away from: the one that the roll-out before
+/// left it on, else the one that most of its upstreams run.
+///
+/// A version that was just found bad runs on for some seconds, and may be listed when the
+/// next order comes; it is no base, or its sessions and callers go back to it.
+#[must_use]
+pub fn base(image: &Image, order: &Order) -> Option<id::Version> {
+    let before = image.progress.rows.get(order.service.as_str());
+    let before = before.map(|row| &row.value);
+    let left_on = before.and_then(|before| before.base_of(order));
+    if let Some(left_on) = left_on {
+        return Some(left_on.clone());
+    }
+    if before.is_some_and(|before| before.state == State::InProgress) {
+        // Cut short by this order: sessions are on either version, and stay there.
+        return None;
+    }
+    let reverted = before.filter(|before| before.state == State::Reverted);
+    let reverted = reverted.map(|before| &before.target);
+    let upstreams = image.upstreams.rows.values().map(|row| &row.value);
+    upstreams
+        .filter(|one| one.service == order.service && one.version != order.target)
+        .filter(|one| Some(&one.version) != reverted)
+        .fold(Versions::default(), Versions::count)
+        .most()
+        .cloned()
+}
+
 /// How many upstreams run each version.
 ///
 /// A version that appears before the order that brings it must wait for it:
@@ -154,10 +183,14 @@
         if self.0.len() < 2 {
             return Allowed::Any;
         }
-        let most = self
-            .0
-            .into_iter()
-            .max_by_key(|(version, count)| (*count, std::cmp::Reverse(*version)));
-        most.map_or(Allowed::Any, |(version, _)| Allowed::Only(version.clone()))
+        let most = self.most();
+        most.map_or(Allowed::Any, |version| Allowed::Only(version.clone()))
+    }
+
+    /// The version that most upstreams run.
+    fn most(self) -> Option<&'a id::Version> {
+        let counts = self.0.into_iter();
+        let most = counts.max_by_key(|(version, count)| (*count, std::cmp::Reverse(*version)));
+        most.map(|(version, _)| version)
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/directory/view.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/view.rs
@@ -1,6 +1,8 @@
 //! Which upstreams take requests.
 
-use cloverpost_core::directory::{Allowed, Image, Processes, Row, State, Upstream, Version, View};
+use cloverpost_core::directory::{
+    self, Allowed, Image, Processes, Row, State, Upstream, Version, View,
+};
 
 use super::{configuration, order, progress, upstream};
 
@@ -193,3 +195,29 @@
     };
     assert_eq!(rollout.base, Some("v2".parse().unwrap()));
 }
+
+#[test]
+fn a_version_that_was_found_bad_is_not_used_when_the_next_one_is_ordered() {
+    // The first roll-out of a service is reverted. The bad version's upstreams leave some
+    // seconds later; the next order comes before that. Nothing says which version the
+    // service ran on, but that most of its upstreams run it.
+    let mut image = ordered_again(State::Reverted);
+    let upstreams = &mut image.upstreams.rows;
+    upstreams.insert("i-4".to_owned(), row(1, upstream("i-4", "v1")));
+    let mut before = progress("v2", State::Reverted, 7);
+    before.base = None;
+    image.progress.rows.insert("app".to_owned(), row(8, before));
+    assert_eq!(allowed(&image), Allowed::Only("v1".parse().unwrap()));
+    assert_eq!(
+        directory::base(&image, &order("v3")),
+        Some("v1".parse().unwrap())
+    );
+}
+
+#[test]
+fn a_first_roll_out_moves_away_from_what_most_upstreams_run() {
+    let found = directory::base(&mixed(), &order("v2"));
+    assert_eq!(found, Some("v1".parse().unwrap()));
+    let found = directory::base(&image(&[upstream("i-1", "v2")]), &order("v2"));
+    assert_eq!(found, None);
+}
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -63,12 +63,7 @@
         .filter(|progress| progress.answers(order, version));
     let Some(current) = current else {
         return Some(Step {
-            progress: begin(
-                order,
-                version,
-                row.map(|row| &row.value),
-                shared.store_now_ms(),
-            ),
+            progress: begin(image, order, version, shared.store_now_ms()),
             expected,
             why: "ordered",
             evidence: String::new(),
@@ -90,12 +85,12 @@
     })
 }
 
-fn begin(order: &Order, version: Version, before: Option<&Progress>, now_ms: u64) -> Progress {
+fn begin(image: &Image, order: &Order, version: Version, now_ms: u64) -> Progress {
     Progress {
         service: order.service.clone(),
         target: order.target.clone(),
         state: State::InProgress,
-        base: before.and_then(|before| before.base_of(order)).cloned(),
+        base: directory::base(image, order),
         order: version,
         started_ms: now_ms,
     }
