--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -42,7 +42,7 @@
     pub clock: Clock,
     /// What is believed of the surroundings.
     pub view: ArcSwap<directory::View>,
-    /// Whether requests can be routed: a configuration and upstreams are known.
+    /// Whether a configuration and upstreams have been known since the start.
     pub is_routable: watch::Sender<bool>,
     /// Connections to upstreams.
     pub pool: Pool,
