feat(cloverpost): questions between VMs show in metrics and logs

Cause of the change: with what the logs told, the hypotheses on the late configuration could not be told apart. No change of logic. Before: questions between VMs showed at a level that is off, the links' counters were not served. After: counters by result and of the links, and a line for the first question that fails. Ruled out: an answer over the cap of a frame, failing calls to the store.

--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -1,5 +1,7 @@
 //! What the control thread is told.
 
+use std::time::Duration;
+
 use cloverpost_core::directory::{Image, Page};
 
 use crate::gateway::store::{Error, Topic};
@@ -26,8 +28,15 @@
     },
     /// A peer sent something.
     Peer(Box<peer::Incoming>),
-    /// A peer answered a question.
-    Told(Box<Image>),
+    /// A question to a peer for newer tables has ended.
+    Answered {
+        /// The peer.
+        peer: peer::Target,
+        /// Time from the question to its end.
+        took: Duration,
+        /// The tables that are newer there.
+        result: Result<Box<Image>, peer::Error>,
+    },
     /// A write ended.
     Written,
     /// Time has passed.
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -10,6 +10,7 @@
 use crate::gateway::control::{State, changes};
 use crate::gateway::rollouts;
 use crate::gateway::store::{Error, Store, Topic};
+use crate::peer;
 
 /// Time after the store's return in which upstreams that are missing from it are
 /// still used. Their entries lapse while the store is away; those that live are
@@ -101,7 +102,7 @@
         }
     }
 
-    pub(super) fn merge(&mut self, image: Image) {
+    pub(super) fn merge(&mut self, peer: &peer::Target, took: Duration, image: Image) {
         let before = self.image.versions();
         let upstreams = self.image.upstreams.clone();
         if self.image.merge(image) {
@@ -109,7 +110,8 @@
             self.changed = self.image.versions();
             self.parts.shared.metrics.told_by_peers.inc();
             let after = self.image.versions();
-            log::info!(before:? = before, after:? = after; "took newer tables from a peer");
+            let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            log::info!(peer:% = peer, took_ms, before:? = before, after:? = after; "took newer tables from a peer");
             self.publish();
         }
     }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -65,6 +65,8 @@
     swept: time::Moment,
     shared_evidence: time::Moment,
     asked: time::Moment,
+    /// Questions to peers that failed since the last one that was answered.
+    unanswered: u32,
     is_writing: bool,
     /// Versions in which the tables last changed.
     changed: Versions,
@@ -86,6 +88,7 @@
         myself: ActorRef<Command>,
         parts: Parts<C, S>,
     ) -> Result<State<C, S>, ActorProcessingErr> {
+        parts.shared.metrics.show_links(parts.links.counters());
         let state = State {
             parts,
             image: Image::default(),
@@ -97,6 +100,7 @@
             swept: time::Moment::default(),
             shared_evidence: time::Moment::default(),
             asked: time::Moment::default(),
+            unanswered: 0,
             is_writing: false,
             changed: Versions::default(),
             loads: loads::Loads::default(),
@@ -140,7 +144,7 @@
             }
             Command::Lost { topic, error } => state.lose(topic, &error),
             Command::Peer(incoming) => state.hear(&myself, *incoming),
-            Command::Told(image) => state.merge(*image),
+            Command::Answered { peer, took, result } => state.take_answer(&peer, took, result),
             Command::Written => state.is_writing = false,
             Command::Tick => state.tick(&myself),
         }
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -1,7 +1,8 @@
 //! What VMs tell and ask each other.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use cloverpost_core::directory::Image;
 use cloverpost_core::{directory, exposure, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -158,11 +159,18 @@
             }
             directory::Message::Ask(versions) => {
                 let newer = Box::new(self.image.newer_than(&versions));
+                self.parts.shared.metrics.answers.inc();
                 incoming
                     .reply
                     .send(Message::Directory(directory::Message::Tell(newer)));
             }
-            directory::Message::Tell(image) => self.merge(*image),
+            directory::Message::Tell(image) => {
+                let target = peer::Target {
+                    vm: incoming.from.vm,
+                    address: incoming.from.address,
+                };
+                self.merge(&target, Duration::ZERO, *image);
+            }
         }
     }
 
@@ -200,14 +208,64 @@
         let ask = Message::Directory(directory::Message::Ask(self.image.versions()));
         let keeper = myself.clone();
         tokio::spawn(async move {
-            match links.request(&target, &ask).await {
-                Ok(Message::Directory(directory::Message::Tell(image))) => {
-                    // The keeper is gone only while the process ends.
-                    let _ = keeper.cast(Command::Told(image));
-                }
-                Ok(_) => log::warn!(peer:% = target; "a peer answered something else"),
-                Err(error) => log::debug!(peer:% = target, why:% = error; "a peer did not answer"),
-            }
+            let started = Instant::now();
+            let result = match links.request(&target, &ask).await {
+                Ok(Message::Directory(directory::Message::Tell(image))) => Ok(image),
+                // A peer of another make: it has no tables for this VM.
+                Ok(_) => Err(peer::Error::Unanswered),
+                Err(error) => Err(error),
+            };
+            let answered = Command::Answered {
+                peer: target,
+                took: started.elapsed(),
+                result,
+            };
+            // The keeper is gone only while the process ends.
+            let _ = keeper.cast(answered);
         });
     }
+
+    /// Takes the end of a question in.
+    pub(super) fn take_answer(
+        &mut self,
+        peer: &peer::Target,
+        took: Duration,
+        result: Result<Box<Image>, peer::Error>,
+    ) {
+        let name = match &result {
+            Ok(_) => "answered",
+            Err(peer::Error::TimedOut) => "timed_out",
+            Err(peer::Error::Pausing) => "pausing",
+            Err(_) => "failed",
+        };
+        let metrics = &self.parts.shared.metrics;
+        metrics.questions.with_label_values(&[name]).inc();
+        match result {
+            Ok(image) => {
+                self.note_answered();
+                self.merge(peer, took, *image);
+            }
+            Err(error) => self.note_unanswered(peer, took, &error),
+        }
+    }
+
+    /// Tells of peers that answer no more, once until one does again.
+    fn note_unanswered(&mut self, peer: &peer::Target, took: Duration, error: &peer::Error) {
+        self.unanswered = self.unanswered.saturating_add(1);
+        if self.unanswered == 1 {
+            let took_ms = millis(took);
+            log::warn!(peer:% = peer, why:% = error, took_ms; "a peer did not answer a question");
+        }
+    }
+
+    fn note_answered(&mut self) {
+        let failed = std::mem::take(&mut self.unanswered);
+        if failed > 0 {
+            log::info!(failed; "peers answer questions again");
+        }
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -1,14 +1,33 @@
 //! Counters and latency histograms of the gateway.
+//!
+//! The text lists them by name. What the control thread does comes before the long
+//! histograms, which a collector with a bound on size may cut off.
+
+use std::sync::Arc;
 
 use prometheus::{
     Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
 };
 
+use crate::peer;
+
 /// Upper bounds of latency buckets, in seconds.
 const SECONDS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
 ];
 
+/// Counts of the links that are shown: what they carry and what they lose.
+const LINKS: [&str; 8] = [
+    "sent",
+    "bytes_sent",
+    "bytes_received",
+    "opened",
+    "failed",
+    "lost",
+    "timed_out",
+    "unanswered",
+];
+
 /// Every metric of a gateway.
 #[derive(Clone, Debug)]
 pub struct Metrics {
@@ -39,6 +58,10 @@
     pub upstreams: IntGauge,
     /// Images taken over from peers.
     pub told_by_peers: IntCounter,
+    /// Questions to peers for newer tables, by result.
+    pub questions: IntCounterVec,
+    /// Questions of peers that were answered.
+    pub answers: IntCounter,
     /// Whether the VM says that it takes new connections.
     pub ready: IntGauge,
 }
@@ -116,11 +139,32 @@
             configuration: gauge("configuration", "number of the configuration in force"),
             upstreams: gauge("upstreams", "upstreams that take work"),
             told_by_peers: counter("told_by_peers_total", "tables taken over from peers"),
+            questions: counters(
+                "control_questions_total",
+                "questions to peers for newer tables",
+                &["result"],
+            ),
+            answers: counter(
+                "control_answers_total",
+                "answers to such questions of peers",
+            ),
             ready: gauge("ready", "1 while the VM takes new connections"),
             registry,
         }
     }
 
+    /// Shows what the links to peers count.
+    pub fn show_links(&self, links: &Arc<peer::Counters>) {
+        let shown = |name: &str| LINKS.contains(&name);
+        let counts = links.values().into_iter().enumerate();
+        for (index, (name, _)) in counts.filter(|(_, (name, _))| shown(name)) {
+            let links = Arc::clone(links);
+            let read = move || links.values()[index].1;
+            let name = format!("control_link_{name}");
+            crate::metrics::show(&self.registry, &name, "see the operators' page", read);
+        }
+    }
+
     /// Every metric in the Prometheus text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
--- a/crates/cloverpost/src/metrics/mod.rs
+++ b/crates/cloverpost/src/metrics/mod.rs
@@ -180,13 +180,7 @@
     ///
     /// If `name` is used already, or is no name of a metric.
     pub fn show(&self, name: &str, help: &str, read: impl Fn() -> u64 + Send + Sync + 'static) {
-        // Exact up to 2^53, which no count of a VM reaches.
-        #[allow(clippy::cast_precision_loss)]
-        let read = Box::new(move || read() as f64);
-        let gauge = PullingGauge::new(name, help, read).expect("the name is valid");
-        self.registry
-            .register(Box::new(gauge))
-            .expect("the name is used once");
+        show(&self.registry, name, help, read);
     }
 
     /// Every metric in the Prometheus text format.
@@ -200,6 +194,22 @@
     }
 }
 
+/// Shows in `registry` a number that another part keeps; it is read at each scrape.
+pub(crate) fn show(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    read: impl Fn() -> u64 + Send + Sync + 'static,
+) {
+    // Exact up to 2^53, which no count of a VM reaches.
+    #[allow(clippy::cast_precision_loss)]
+    let read = Box::new(move || read() as f64);
+    let gauge = PullingGauge::new(name, help, read).expect("the name is valid");
+    registry
+        .register(Box::new(gauge))
+        .expect("the name is used once");
+}
+
 /// Everything in `registry` in the Prometheus text format.
 pub(crate) fn text(registry: &Registry) -> Vec<u8> {
     let mut text = Vec::new();
