--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -25,6 +25,8 @@
     pub metrics_addr: Option<SocketAddr>,
     /// Where other VMs connect.
     pub peer_addr: SocketAddr,
+    /// Where peers are told to connect, if translation or a relay stands in between.
+    pub peer_advertised_addr: Option<SocketAddr>,
     /// Where the store listens.
     pub store_addr: SocketAddr,
     /// Time from the request to stop until the process is killed.
@@ -106,13 +108,14 @@
 const COUNT: &str = "a whole number";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 30] = [
+const NAMES: [&str; 31] = [
     "vm",
     "zone",
     "caller-addr",
     "operator-addr",
     "metrics-addr",
     "peer-addr",
+    "peer-advertised-addr",
     "store-addr",
     "stop-grace-s",
     "session-gap-s",
@@ -175,6 +178,7 @@
         let operator_addr = self.text("operator-addr", ADDRESS);
         let metrics_addr = self.optional("metrics-addr", ADDRESS);
         let peer_addr = self.text("peer-addr", ADDRESS);
+        let peer_advertised_addr = self.optional("peer-advertised-addr", ADDRESS);
         let store_addr = self.text("store-addr", ADDRESS);
         let stop_grace = self.seconds("stop-grace-s", 8.0);
         let session_gap = self.seconds("session-gap-s", 5.0);
@@ -193,6 +197,7 @@
             operator_addr: operator_addr?,
             metrics_addr,
             peer_addr: peer_addr?,
+            peer_advertised_addr,
             store_addr: store_addr?,
             stop_grace: stop_grace?,
             session_gap: session_gap?,
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -155,7 +155,8 @@
     keys: peer::Keys,
 ) -> Result<Member, Error> {
     let settings = shared.settings.load_full();
-    let options = peer::Options::new(settings.vm.clone(), settings.zone.clone(), keys);
+    let mut options = peer::Options::new(settings.vm.clone(), settings.zone.clone(), keys);
+    options.advertised = settings.peer_advertised_addr;
     let address = settings.peer_addr;
     let runtime = runtime::Builder::new_current_thread()
         .enable_all()
@@ -174,7 +175,7 @@
         let own = Member {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
-            address: links.local_addr(),
+            address: links.identity().address,
             seen_ms: 0,
         };
         let parts = Parts {
