fix(cloverpost-core): VMs send each other what changed, not whole tables

Cause: a table counted as newer whenever its VM had heard anything later from the store, as the store has one counter for all tables; the whole configuration went out again with each change of any upstream. Ruled out: rows whose value changes (none did). Found by the property test on the way: a table that was just read whole may lack removals and must count as changed.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -1,10 +1,11 @@
 //! One VM's copy of all tables.
 
-use crate::directory::{Change, Configuration, Member, Order, Progress, Table, Upstream, Version};
+use crate::directory::{
+    Change, Configuration, Member, Order, Patch, Progress, Table, Upstream, Version,
+};
 
 /// A copy of all tables that a VM follows.
 #[derive(Clone, Debug, Default, PartialEq)]
-#[derive(serde::Serialize, serde::Deserialize)]
 pub struct Image {
     /// The configuration; one row at most.
     pub configuration: Table<Configuration>,
@@ -87,39 +88,50 @@
                 configuration,
                 orders,
             } => {
-                let one = self.configuration.replace(whole(configuration, version));
-                let other = self.orders.replace(whole(orders, version));
+                let one = self.configuration.replace(configuration, version);
+                let other = self.orders.replace(orders, version);
                 one || other
             }
-            Rows::Upstreams(rows) => self.upstreams.replace(whole(rows, version)),
-            Rows::Progress(rows) => self.progress.replace(whole(rows, version)),
-            Rows::Members(rows) => self.members.replace(whole(rows, version)),
+            Rows::Upstreams(rows) => self.upstreams.replace(rows, version),
+            Rows::Progress(rows) => self.progress.replace(rows, version),
+            Rows::Members(rows) => self.members.replace(rows, version),
         }
     }
 
-    /// Takes whatever `other` has newer; whether a value changed.
-    pub fn merge(&mut self, other: Self) -> bool {
-        let configuration = self.configuration.replace(other.configuration);
-        let orders = self.orders.replace(other.orders);
-        let upstreams = self.upstreams.replace(other.upstreams);
-        let progress = self.progress.replace(other.progress);
-        let members = self.members.replace(other.members);
-        configuration || orders || upstreams || progress || members
+    /// Takes in what a peer has newer; whether a value changed.
+    pub fn update(&mut self, update: Update) -> bool {
+        let mut differs = false;
+        if let Some(patch) = update.configuration {
+            differs |= self.configuration.patch(patch);
+        }
+        if let Some(patch) = update.orders {
+            differs |= self.orders.patch(patch);
+        }
+        if let Some(patch) = update.upstreams {
+            differs |= self.upstreams.patch(patch);
+        }
+        if let Some(patch) = update.progress {
+            differs |= self.progress.patch(patch);
+        }
+        if let Some(patch) = update.members {
+            differs |= self.members.patch(patch);
+        }
+        differs
     }
 
-    /// The tables that are newer here than in `versions`; the others empty.
+    /// What a copy that is whole as of `versions` lacks.
     #[must_use]
-    pub fn newer_than(&self, versions: &Versions) -> Self {
-        Self {
-            configuration: newer(&self.configuration, versions.configuration),
-            orders: newer(&self.orders, versions.orders),
-            upstreams: newer(&self.upstreams, versions.upstreams),
-            progress: newer(&self.progress, versions.progress),
-            members: newer(&self.members, versions.members),
+    pub fn since(&self, versions: &Versions) -> Update {
+        Update {
+            configuration: self.configuration.since(versions.configuration),
+            orders: self.orders.since(versions.orders),
+            upstreams: self.upstreams.since(versions.upstreams),
+            progress: self.progress.since(versions.progress),
+            members: self.members.since(versions.members),
         }
     }
 
-    /// The version of each table.
+    /// The version up to which each table is whole.
     #[must_use]
     pub const fn versions(&self) -> Versions {
         Versions {
@@ -130,9 +142,37 @@
             members: self.members.version,
         }
     }
+
+    /// The version of the newest change that each table holds.
+    #[must_use]
+    pub const fn changes(&self) -> Versions {
+        Versions {
+            configuration: self.configuration.changed,
+            orders: self.orders.changed,
+            upstreams: self.upstreams.changed,
+            progress: self.progress.changed,
+            members: self.members.changed,
+        }
+    }
+}
+
+/// What a peer's image has newer, table by table.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub struct Update {
+    /// Of the configuration.
+    pub configuration: Option<Patch<Configuration>>,
+    /// Of the orders.
+    pub orders: Option<Patch<Order>>,
+    /// Of the upstreams.
+    pub upstreams: Option<Patch<Upstream>>,
+    /// Of the states of roll-outs.
+    pub progress: Option<Patch<Progress>>,
+    /// Of the entry VMs.
+    pub members: Option<Patch<Member>>,
 }
 
-/// The version of each table of an [`Image`].
+/// A version of each table of an [`Image`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Versions {
@@ -149,7 +189,8 @@
 }
 
 impl Versions {
-    /// Whether anything of `other` is newer.
+    /// Whether anything of `other` is newer. Asked of the versions as of which a copy is
+    /// whole, with those of another's newest changes: whether the copy lacks any.
     #[must_use]
     pub fn is_older_than(&self, other: &Self) -> bool {
         self.configuration < other.configuration
@@ -166,26 +207,3 @@
         self.configuration < other.configuration || self.orders < other.orders
     }
 }
-
-fn newer<T: Clone>(table: &Table<T>, than: Version) -> Table<T> {
-    if table.version > than {
-        table.clone()
-    } else {
-        Table::default()
-    }
-}
-
-fn whole<T>(rows: Vec<Change<T>>, version: Version) -> Table<T> {
-    let rows = rows.into_iter().filter_map(|change| {
-        let value = change.value?;
-        let row = crate::directory::Row {
-            version: change.version,
-            value,
-        };
-        Some((change.key, row))
-    });
-    Table {
-        version,
-        rows: rows.collect(),
-    }
-}
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -2,6 +2,7 @@
 
 mod image;
 mod index;
+mod table;
 mod view;
 mod watchers;
 
--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Page};
+use cloverpost_core::directory::{Page, Update};
 
 use crate::gateway::store::{Error, Topic};
 use crate::peer;
@@ -34,8 +34,8 @@
         peer: peer::Target,
         /// Time from the question to its end.
         took: Duration,
-        /// The tables that are newer there.
-        result: Result<Box<Image>, peer::Error>,
+        /// What is newer there.
+        result: Result<Box<Update>, peer::Error>,
     },
     /// A write ended.
     Written,
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Page, Unreadable, Upstream, View};
+use cloverpost_core::directory::{Page, Unreadable, Update, Upstream, View};
 use cloverpost_core::{directory, time};
 use tokio::sync::watch;
 
@@ -43,7 +43,6 @@
             self.note_missing(&before, now);
         }
         if changed {
-            self.changed = self.image.versions();
             self.publish();
             if topic == Topic::Operators {
                 self.tell_peers();
@@ -102,12 +101,11 @@
         }
     }
 
-    pub(super) fn merge(&mut self, peer: &peer::Target, took: Duration, image: Image) {
+    pub(super) fn update(&mut self, peer: &peer::Target, took: Duration, update: Update) {
         let before = self.image.versions();
         let upstreams = self.image.upstreams.clone();
-        if self.image.merge(image) {
+        if self.image.update(update) {
             self.note_missing(&upstreams, self.now());
-            self.changed = self.image.versions();
             self.parts.shared.metrics.told_by_peers.inc();
             let after = self.image.versions();
             let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Member, Upstream, Version, Versions};
+use cloverpost_core::directory::{Image, Member, Upstream, Version};
 use cloverpost_core::time;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -68,8 +68,6 @@
     /// Questions to peers that failed since the last one that was answered.
     unanswered: u32,
     is_writing: bool,
-    /// Versions in which the tables last changed.
-    changed: Versions,
     loads: loads::Loads,
     /// When a peer last said that it hears from the store.
     fresh: Option<time::Moment>,
@@ -102,7 +100,6 @@
             asked: time::Moment::default(),
             unanswered: 0,
             is_writing: false,
-            changed: Versions::default(),
             loads: loads::Loads::default(),
             fresh: None,
             told: time::Moment::default(),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use cloverpost_core::directory::Image;
+use cloverpost_core::directory::Update;
 use cloverpost_core::{directory, exposure, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -49,7 +49,7 @@
             return;
         }
         self.told = now;
-        let fresh = Message::Directory(directory::Message::Fresh(self.changed));
+        let fresh = Message::Directory(directory::Message::Fresh(self.image.changes()));
         let members = self.image.members.rows.values().map(|row| &row.value);
         for member in members.filter(|one| one.zone == own.zone && one.vm != own.vm) {
             if self.image.members.is_watcher(&member.vm, &member.zone) {
@@ -158,18 +158,18 @@
                 }
             }
             directory::Message::Ask(versions) => {
-                let newer = Box::new(self.image.newer_than(&versions));
+                let newer = Box::new(self.image.since(&versions));
                 self.parts.shared.metrics.answers.inc();
                 incoming
                     .reply
                     .send(Message::Directory(directory::Message::Tell(newer)));
             }
-            directory::Message::Tell(image) => {
+            directory::Message::Tell(update) => {
                 let target = peer::Target {
                     vm: incoming.from.vm,
                     address: incoming.from.address,
                 };
-                self.merge(&target, Duration::ZERO, *image);
+                self.update(&target, Duration::ZERO, *update);
             }
         }
     }
@@ -187,7 +187,7 @@
 
     pub(super) fn tell_peers(&self) {
         let mut others = self.others();
-        let have = Message::Directory(directory::Message::Have(self.image.versions()));
+        let have = Message::Directory(directory::Message::Have(self.image.changes()));
         for _ in 0..TOLD.min(others.len()) {
             let target = others.swap_remove(rand::random_range(0..others.len()));
             self.send(&target, &have);
@@ -210,7 +210,7 @@
         tokio::spawn(async move {
             let started = Instant::now();
             let result = match links.request(&target, &ask).await {
-                Ok(Message::Directory(directory::Message::Tell(image))) => Ok(image),
+                Ok(Message::Directory(directory::Message::Tell(update))) => Ok(update),
                 // A peer of another make: it has no tables for this VM.
                 Ok(_) => Err(peer::Error::Unanswered),
                 Err(error) => Err(error),
@@ -230,7 +230,7 @@
         &mut self,
         peer: &peer::Target,
         took: Duration,
-        result: Result<Box<Image>, peer::Error>,
+        result: Result<Box<Update>, peer::Error>,
     ) {
         let name = match &result {
             Ok(_) => "answered",
@@ -241,9 +241,9 @@
         let metrics = &self.parts.shared.metrics;
         metrics.questions.with_label_values(&[name]).inc();
         match result {
-            Ok(image) => {
+            Ok(update) => {
                 self.note_answered();
-                self.merge(peer, took, *image);
+                self.update(peer, took, *update);
             }
             Err(error) => self.note_unanswered(peer, took, &error),
         }
