fix(cloverpost): one question at a time, the configuration in pieces

Cause: a VM asked its followers again, every 120 ms, before it was answered; each answer held the configuration in one message, and what had not come within the message's second was thrown away, the link closed, and all of it asked for again. Ruled out: a longer time limit (the links stay full of copies, and news of leavers wait behind them). Change: one question about rows and one about the configuration under way at a time; the configuration comes in pieces of 16 kB from any peer that has it (core::directory::Fetch, Editions), and what has come stays.

--- /dev/null
+++ b/crates/cloverpost-core/src/directory/fetch.rs
@@ -0,0 +1,148 @@
+//! Fetches a newer configuration from peers, piece by piece.
+//!
+//! One piece is asked for at a time, each of any peer that has the version: a slow or a dead
+//! peer costs one piece, and several share the work. A version that was begun is seen through
+//! although a newer one is known, or changes that come faster than they can be fetched would
+//! leave a VM on the old one for as long as they last.
+
+use std::collections::BTreeMap;
+
+use rand::seq::IteratorRandom;
+
+use crate::directory::{Change, Configuration, Member, Piece, Version, encoded};
+use crate::id;
+
+/// What a peer is asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// The peer.
+    pub holder: Member,
+    /// The version that is wanted.
+    pub version: Version,
+    /// Where the piece begins.
+    pub offset: usize,
+}
+
+/// A configuration that has come whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fetched {
+    /// Its version.
+    pub version: Version,
+    /// Its rows.
+    pub rows: Vec<Change<Configuration>>,
+}
+
+/// The pieces of one version that have come.
+#[derive(Debug)]
+struct Partial {
+    version: Version,
+    digest: u64,
+    len: usize,
+    bytes: Vec<u8>,
+}
+
+/// What is known of newer configurations, and what has come of one.
+#[derive(Debug, Default)]
+pub struct Fetch {
+    /// Peers, each with the newest version that it said it has.
+    holders: BTreeMap<id::Vm, (Member, Version)>,
+    partial: Option<Partial>,
+    is_asking: bool,
+}
+
+impl Fetch {
+    /// Notes that `holder` has `version`.
+    pub fn hear(&mut self, holder: Member, version: Version) {
+        self.holders.insert(holder.vm.clone(), (holder, version));
+    }
+
+    /// What to ask for now, by a VM in `zone` whose own configuration is whole as of `own`;
+    /// none while an answer is awaited. Peers in the same zone come first.
+    pub fn next(
+        &mut self,
+        own: Version,
+        zone: &id::AvailabilityZone,
+        rng: &mut impl rand::Rng,
+    ) -> Option<Question> {
+        if self.is_asking {
+            return None;
+        }
+        self.holders.retain(|_, (_, version)| *version > own);
+        self.partial = self.partial.take().filter(|partial| partial.version > own);
+        let wanted = match &self.partial {
+            Some(partial) => partial.version,
+            None => self.holders.values().map(|(_, version)| *version).max()?,
+        };
+        let holder = self.holder(wanted, zone, rng)?;
+        self.is_asking = true;
+        Some(Question {
+            holder,
+            version: wanted,
+            offset: self.partial.as_ref().map_or(0, |one| one.bytes.len()),
+        })
+    }
+
+    fn holder(
+        &self,
+        wanted: Version,
+        zone: &id::AvailabilityZone,
+        rng: &mut impl rand::Rng,
+    ) -> Option<Member> {
+        let having = || {
+            let holders = self.holders.values();
+            holders.filter(move |(_, version)| *version >= wanted)
+        };
+        let near = having().filter(|(holder, _)| holder.zone == *zone);
+        let chosen = near.choose(rng).or_else(|| having().choose(rng));
+        chosen.map(|(holder, _)| holder.clone())
+    }
+
+    /// Takes a piece in; the configuration, once it is whole.
+    pub fn take(&mut self, from: &id::Vm, piece: &Piece) -> Option<Fetched> {
+        self.is_asking = false;
+        if piece.len > encoded::LARGEST || piece.bytes.is_empty() {
+            self.holders.remove(from);
+            return None;
+        }
+        if let Some((_, version)) = self.holders.get_mut(from) {
+            *version = piece.version.max(*version);
+        }
+        let fits = |partial: &Partial| {
+            partial.version == piece.version
+                && partial.digest == piece.digest
+                && partial.bytes.len() == piece.offset
+        };
+        if !self.partial.as_ref().is_some_and(fits) {
+            self.partial = None;
+        }
+        if self.partial.is_none() && piece.offset > 0 {
+            // Of another encoding than what had come; it starts anew.
+            return None;
+        }
+        let partial = self.partial.get_or_insert_with(|| Partial {
+            version: piece.version,
+            digest: piece.digest,
+            len: piece.len,
+            bytes: Vec::with_capacity(piece.len),
+        });
+        partial.bytes.extend_from_slice(&piece.bytes);
+        if partial.bytes.len() < partial.len {
+            return None;
+        }
+        let whole = self.partial.take()?;
+        let rows = encoded::decode(&whole.bytes, whole.digest);
+        if rows.is_none() {
+            self.holders.remove(from);
+        }
+        Some(Fetched {
+            version: whole.version,
+            rows: rows?,
+        })
+    }
+
+    /// Notes that `from` did not answer. It is not asked again until it is heard of.
+    pub fn fail(&mut self, from: &id::Vm) {
+        self.is_asking = false;
+        self.holders.remove(from);
+    }
+}
--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -1,5 +1,7 @@
 //! One VM's copy of all tables.
 
+use crate::directory::encoded::newest;
+use crate::directory::fetch::Fetched;
 use crate::directory::{
     Change, Configuration, Member, Order, Patch, Progress, Table, Upstream, Version,
 };
@@ -101,9 +103,6 @@
     /// Takes in what a peer has newer; whether a value changed.
     pub fn update(&mut self, update: Update) -> bool {
         let mut differs = false;
-        if let Some(patch) = update.configuration {
-            differs |= self.configuration.patch(patch);
-        }
         if let Some(patch) = update.orders {
             differs |= self.orders.patch(patch);
         }
@@ -119,11 +118,16 @@
         differs
     }
 
-    /// What a copy that is whole as of `versions` lacks.
+    /// Takes a configuration that was fetched from peers; whether it differs.
+    pub fn configure(&mut self, fetched: Fetched) -> bool {
+        self.configuration.replace(fetched.rows, fetched.version)
+    }
+
+    /// What a copy that is whole as of `versions` lacks, but for the configuration.
     #[must_use]
     pub fn since(&self, versions: &Versions) -> Update {
         Update {
-            configuration: self.configuration.since(versions.configuration),
+            configuration: newest(&self.configuration),
             orders: self.orders.since(versions.orders),
             upstreams: self.upstreams.since(versions.upstreams),
             progress: self.progress.since(versions.progress),
@@ -145,9 +149,9 @@
 
     /// The version of the newest change that each table holds.
     #[must_use]
-    pub const fn changes(&self) -> Versions {
+    pub fn changes(&self) -> Versions {
         Versions {
-            configuration: self.configuration.changed,
+            configuration: newest(&self.configuration),
             orders: self.orders.changed,
             upstreams: self.upstreams.changed,
             progress: self.progress.changed,
@@ -160,8 +164,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Update {
-    /// Of the configuration.
-    pub configuration: Option<Patch<Configuration>>,
+    /// Version of the configuration; it is fetched by itself.
+    pub configuration: Version,
     /// Of the orders.
     pub orders: Option<Patch<Order>>,
     /// Of the upstreams.
@@ -189,21 +193,21 @@
 }
 
 impl Versions {
-    /// Whether anything of `other` is newer. Asked of the versions as of which a copy is
-    /// whole, with those of another's newest changes: whether the copy lacks any.
+    /// Whether anything of `other` is newer, but for the configuration. Asked of the versions
+    /// as of which a copy is whole, with those of another's newest changes: whether the copy
+    /// lacks any.
     #[must_use]
     pub fn is_older_than(&self, other: &Self) -> bool {
-        self.configuration < other.configuration
-            || self.orders < other.orders
+        self.orders < other.orders
             || self.upstreams < other.upstreams
             || self.progress < other.progress
             || self.members < other.members
     }
 
-    /// Whether `other` has a newer version of anything that operators write. Of
-    /// the rest everybody has another version at every moment.
+    /// Whether the copy lacks orders that another one with the changes `other` holds. Of
+    /// the other tables everybody has another version at every moment.
     #[must_use]
-    pub fn is_behind(&self, other: &Self) -> bool {
-        self.configuration < other.configuration || self.orders < other.orders
+    pub fn lacks_orders(&self, other: &Self) -> bool {
+        self.orders < other.orders
     }
 }
--- a/crates/cloverpost-core/src/directory/message.rs
+++ b/crates/cloverpost-core/src/directory/message.rs
@@ -1,6 +1,6 @@
 //! What VMs tell each other of the store's tables.
 
-use crate::directory::{Update, Versions};
+use crate::directory::{Piece, Update, Version, Versions};
 
 /// A message between two VMs.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,4 +14,13 @@
     Ask(Versions),
     /// The changes that were asked for.
     Tell(Box<Update>),
+    /// Asks for part of a configuration.
+    Fetch {
+        /// Version of its row.
+        version: Version,
+        /// Where the part begins, in bytes of its encoding.
+        offset: usize,
+    },
+    /// The part that was asked for, or the start of a newer configuration.
+    Piece(Piece),
 }
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -6,6 +6,8 @@
 //! [`View`] is what the request path reads: indexes over one state of the image.
 
 mod configuration;
+pub mod encoded;
+pub mod fetch;
 mod image;
 mod index;
 mod kind;
@@ -14,6 +16,7 @@
 mod message;
 mod organisation;
 mod patch;
+mod piece;
 mod processes;
 mod removals;
 mod rollout;
@@ -25,6 +28,8 @@
 mod watchers;
 
 pub use configuration::Configuration;
+pub use encoded::Editions;
+pub use fetch::Fetch;
 pub use image::{Image, Page, Rows, Unreadable, Update, Versions};
 pub use index::{Index, Sender, Unrouted};
 pub use kind::Kind;
@@ -33,6 +38,7 @@
 pub use message::Message;
 pub use organisation::Organisation;
 pub use patch::Patch;
+pub use piece::Piece;
 pub use processes::Processes;
 pub use removals::Removals;
 pub use rollout::{Order, Progress, State};
--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
@@ -0,0 +1,292 @@
+//! Configurations that are fetched from peers in pieces.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use cloverpost_core::directory::encoded::{LARGEST, PIECE};
+use cloverpost_core::directory::fetch::{Fetched, Question};
+use cloverpost_core::directory::{
+    Configuration, Editions, Fetch, Image, Member, Page, Piece, Rows, Table, Version,
+};
+use cloverpost_core::id;
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::{change, configuration, route};
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(7)
+}
+
+fn zone(name: &str) -> id::AvailabilityZone {
+    name.parse().unwrap()
+}
+
+fn member(vm: &str, zone: &str) -> Member {
+    Member {
+        vm: vm.parse().unwrap(),
+        zone: zone.parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        seen_ms: 0,
+    }
+}
+
+/// A configuration of `routes` routes, written at `version`.
+fn table(version: u64, routes: usize) -> Table<Configuration> {
+    let mut value = configuration(version);
+    value.routes = (0..routes)
+        .map(|number| route(&format!("r-{number}"), &format!("/r-{number}/")))
+        .collect();
+    let mut table = Table::default();
+    let version_read = Version::new(version + 3);
+    table.replace(vec![change("config", version, Some(value))], version_read);
+    table
+}
+
+fn ask(fetch: &mut Fetch, own: u64) -> Option<Question> {
+    fetch.next(Version::new(own), &zone("a"), &mut rng())
+}
+
+/// Fetches from peers that hold `tables` until something is whole; the pieces asked of each.
+fn fetch_whole(
+    fetch: &mut Fetch,
+    own: u64,
+    tables: &BTreeMap<id::Vm, Table<Configuration>>,
+) -> (Fetched, BTreeMap<id::Vm, usize>) {
+    let mut editions: BTreeMap<_, _> = tables.keys().map(|vm| (vm, Editions::default())).collect();
+    let mut asked = BTreeMap::new();
+    let mut rng = rng();
+    loop {
+        let question = fetch
+            .next(Version::new(own), &zone("a"), &mut rng)
+            .expect("somebody has it");
+        let vm = question.holder.vm;
+        *asked.entry(vm.clone()).or_default() += 1;
+        let editions = editions.get_mut(&vm).unwrap();
+        let piece = editions.piece(&tables[&vm], question.version, question.offset);
+        let Some(piece) = piece else {
+            fetch.fail(&vm);
+            continue;
+        };
+        if let Some(fetched) = fetch.take(&vm, &piece) {
+            return (fetched, asked);
+        }
+    }
+}
+
+#[test]
+fn a_configuration_comes_whole_in_pieces_from_all_that_have_it() {
+    let held = table(4, 8000);
+    let mut fetch = Fetch::default();
+    let mut tables = BTreeMap::new();
+    for vm in ["vm-1", "vm-2"] {
+        fetch.hear(member(vm, "a"), Version::new(4));
+        tables.insert(vm.parse().unwrap(), held.clone());
+    }
+    let (fetched, asked) = fetch_whole(&mut fetch, 1, &tables);
+    let mut image = Image::default();
+    assert!(image.configure(fetched));
+    assert_eq!(image.configuration.rows, held.rows);
+    assert_eq!(image.configuration.version, Version::new(4));
+    assert_eq!(asked.len(), 2, "{asked:?}");
+    assert!(ask(&mut fetch, 4).is_none(), "nothing is lacking");
+}
+
+#[test]
+fn one_piece_is_asked_for_at_a_time() {
+    // Asked again before they answer, peers send the same bytes several times over.
+    let mut fetch = Fetch::default();
+    fetch.hear(member("vm-1", "a"), Version::new(4));
+    assert!(ask(&mut fetch, 1).is_some());
+    fetch.hear(member("vm-2", "a"), Version::new(4));
+    assert!(ask(&mut fetch, 1).is_none());
+}
+
+#[test]
+fn what_has_come_stays_when_a_peer_fails() {
+    // The peer that has sent the first piece dies. Another one has the same version: the rest
+    // comes from there, and nothing comes twice.
+    let held = table(4, 800);
+    let mut editions = Editions::default();
+    let mut fetch = Fetch::default();
+    fetch.hear(member("vm-1", "a"), Version::new(4));
+    let first = ask(&mut fetch, 1).unwrap();
+    let piece = editions.piece(&held, first.version, 0).unwrap();
+    assert!(fetch.take(&first.holder.vm, &piece).is_none());
+    ask(&mut fetch, 1).unwrap();
+    fetch.fail(&first.holder.vm);
+    assert!(ask(&mut fetch, 1).is_none(), "nobody is left to ask");
+    fetch.hear(member("vm-2", "a"), Version::new(4));
+    let next = ask(&mut fetch, 1).unwrap();
+    assert_eq!(next.holder.vm.as_str(), "vm-2");
+    assert_eq!(next.offset, PIECE);
+}
+
+#[test]
+fn peers_of_the_same_zone_are_asked_first() {
+    let mut fetch = Fetch::default();
+    for far in 0..20 {
+        fetch.hear(member(&format!("far-{far}"), "b"), Version::new(4));
+    }
+    fetch.hear(member("near", "a"), Version::new(4));
+    assert_eq!(ask(&mut fetch, 1).unwrap().holder.vm.as_str(), "near");
+    fetch.fail(&"near".parse().unwrap());
+    assert_eq!(ask(&mut fetch, 1).unwrap().holder.zone, zone("b"));
+}
+
+#[test]
+fn a_version_that_was_begun_is_seen_through_while_newer_ones_come() {
+    // Operators change a large configuration several times a second. A VM that began anew
+    // with each would have none of them until they stop.
+    let mut editions = Editions::default();
+    let mut fetch = Fetch::default();
+    let vm: id::Vm = "vm-1".parse().unwrap();
+    let mut held = table(4, 800);
+    fetch.hear(member("vm-1", "a"), Version::new(4));
+    let mut fetched = None;
+    let mut version = 4;
+    while fetched.is_none() {
+        let question = ask(&mut fetch, 1).unwrap();
+        let piece = editions.piece(&held, question.version, question.offset);
+        fetched = fetch.take(&vm, &piece.unwrap());
+        if version < 7 {
+            version += 1;
+            held = table(version, 800);
+            editions.piece(&held, Version::new(version), 0);
+            fetch.hear(member("vm-1", "a"), Version::new(version));
+        }
+    }
+    assert_eq!(fetched.unwrap().version, Version::new(4));
+    assert_eq!(ask(&mut fetch, 4).unwrap().version, Version::new(7));
+}
+
+#[test]
+fn a_version_that_nobody_has_any_more_gives_way_to_the_newest() {
+    let mut fetch = Fetch::default();
+    fetch.hear(member("vm-1", "a"), Version::new(4));
+    let first = ask(&mut fetch, 1).unwrap();
+    let mut editions = Editions::default();
+    let piece = editions.piece(&table(4, 800), first.version, 0).unwrap();
+    fetch.take(&first.holder.vm, &piece);
+    let next = ask(&mut fetch, 1).unwrap();
+    // It has started anew meanwhile, and knows the newest version only.
+    let piece = Editions::default().piece(&table(9, 800), next.version, next.offset);
+    let piece = piece.unwrap();
+    assert_eq!((piece.version, piece.offset), (Version::new(9), 0));
+    assert!(fetch.take(&next.holder.vm, &piece).is_none());
+    let last = ask(&mut fetch, 1).unwrap();
+    assert_eq!((last.version, last.offset), (Version::new(9), PIECE));
+}
+
+#[test]
+fn pieces_of_another_encoding_are_not_joined() {
+    // Two releases may encode one configuration differently. Joined, the pieces would be read
+    // as something that no operator wrote.
+    let mut fetch = Fetch::default();
+    fetch.hear(member("vm-1", "a"), Version::new(4));
+    let first = ask(&mut fetch, 1).unwrap();
+    let piece = Editions::default().piece(&table(4, 800), first.version, 0);
+    fetch.take(&first.holder.vm, &piece.unwrap());
+    let next = ask(&mut fetch, 1).unwrap();
+    let other = Editions::default().piece(&table(4, 900), next.version, next.offset);
+    assert!(fetch.take(&next.holder.vm, &other.unwrap()).is_none());
+    assert_eq!(ask(&mut fetch, 1).unwrap().offset, 0);
+}
+
+#[test]
+fn an_answer_that_makes_no_sense_changes_nothing() {
+    let vm: id::Vm = "vm-1".parse().unwrap();
+    let sound = Piece {
+        version: Version::new(4),
+        digest: 1,
+        len: 8,
+        offset: 0,
+        bytes: Bytes::from_static(b"whatever"),
+    };
+    let odd = [
+        Piece {
+            len: LARGEST + 1,
+            ..sound.clone()
+        },
+        Piece {
+            bytes: Bytes::new(),
+            ..sound.clone()
+        },
+        Piece {
+            offset: 5,
+            ..sound.clone()
+        },
+        sound,
+    ];
+    for piece in odd {
+        let mut fetch = Fetch::default();
+        fetch.hear(member("vm-1", "a"), Version::new(4));
+        ask(&mut fetch, 1).unwrap();
+        assert_eq!(fetch.take(&vm, &piece), None, "{piece:?}");
+    }
+}
+
+#[test]
+fn a_configuration_of_every_version_is_the_same_on_all_vms() {
+    // One was read whole, the other came by a feed, and the store has told each of other
+    // transactions since: the row's own version is what names it.
+    let read = table(4, 3);
+    let mut fed = Image::default();
+    fed.apply(Page {
+        rows: Rows::Operators {
+            configuration: vec![change("config", 4, Some(read.rows["config"].value.clone()))],
+            orders: Vec::new(),
+        },
+        version: Version::new(90),
+        now_ms: 0,
+        unreadable: Vec::new(),
+    });
+    let piece = |table| {
+        Editions::default()
+            .piece(table, Version::new(1), 0)
+            .unwrap()
+    };
+    assert_eq!(piece(&read), piece(&fed.configuration));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(64) })]
+
+    // Peers hold different versions, fail and come back in any order. Whatever comes whole is
+    // what one of them held, and as long as one answers the newest comes in the end.
+    #[test]
+    fn whatever_fails_what_comes_is_what_a_peer_held(
+        versions in prop::collection::vec(2_u64..6, 1..5),
+        failures in prop::collection::vec(any::<bool>(), 0..40),
+        seed in any::<u64>(),
+    ) {
+        let mut fetch = Fetch::default();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut editions: Vec<_> = versions.iter().map(|_| Editions::default()).collect();
+        let names: Vec<_> = (0..versions.len()).map(|one| format!("vm-{one}")).collect();
+        let mut failures = failures.into_iter();
+        let mut own = Version::new(1);
+        let newest = Version::new(*versions.iter().max().unwrap());
+        for _ in 0..400 {
+            for (name, version) in names.iter().zip(&versions) {
+                fetch.hear(member(name, "a"), Version::new(*version));
+            }
+            let Some(question) = fetch.next(own, &zone("a"), &mut rng) else { break };
+            let at = names.iter().position(|one| *one == question.holder.vm.as_str()).unwrap();
+            let held = table(versions[at], 600);
+            let piece = editions[at].piece(&held, question.version, question.offset);
+            match piece {
+                Some(piece) if !failures.next().unwrap_or(false) => {
+                    if let Some(fetched) = fetch.take(&question.holder.vm, &piece) {
+                        let expected = table(fetched.version.get(), 600);
+                        prop_assert_eq!(&fetched.rows[0].value, &Some(expected.rows["config"].value.clone()));
+                        own = fetched.version;
+                    }
+                }
+                _ => fetch.fail(&question.holder.vm),
+            }
+        }
+        prop_assert_eq!(own, newest);
+    }
+}
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -1,5 +1,6 @@
 //! What a VM believes of its surroundings.
 
+mod fetch;
 mod image;
 mod index;
 mod table;
--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -2,11 +2,20 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Page, Update};
+use cloverpost_core::directory::{Member, Page, Piece, Update};
 
 use crate::gateway::store::{Error, Topic};
 use crate::peer;
 
+/// What came of a question to a peer.
+#[derive(Debug)]
+pub enum Answer {
+    /// What changed in its tables.
+    Rows(Result<Box<Update>, peer::Error>),
+    /// Part of a configuration.
+    Piece(Result<Piece, peer::Error>),
+}
+
 /// What the keeper of the tables is told.
 #[derive(Debug)]
 pub enum Command {
@@ -28,14 +37,14 @@
     },
     /// A peer sent something.
     Peer(Box<peer::Incoming>),
-    /// A question to a peer for newer tables has ended.
+    /// A question to a peer has ended.
     Answered {
         /// The peer.
-        peer: peer::Target,
+        peer: Member,
         /// Time from the question to its end.
         took: Duration,
-        /// What is newer there.
-        result: Result<Box<Update>, peer::Error>,
+        /// What came of it.
+        answer: Answer,
     },
     /// A write ended.
     Written,
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Page, Unreadable, Update, Upstream, View};
+use cloverpost_core::directory::fetch::Fetched;
+use cloverpost_core::directory::{Member, Page, Unreadable, Update, Upstream, View};
 use cloverpost_core::{directory, time};
 use tokio::sync::watch;
 
@@ -10,7 +11,6 @@
 use crate::gateway::control::{State, changes};
 use crate::gateway::rollouts;
 use crate::gateway::store::{Error, Store, Topic};
-use crate::peer;
 
 /// Time after the store's return in which upstreams that are missing from it are
 /// still used. Their entries lapse while the store is away; those that live are
@@ -101,7 +101,8 @@
         }
     }
 
-    pub(super) fn update(&mut self, peer: &peer::Target, took: Duration, update: Update) {
+    /// Takes in what a peer has newer.
+    pub(super) fn update(&mut self, peer: &Member, took: Duration, update: Update) {
         let before = self.image.versions();
         let upstreams = self.image.upstreams.clone();
         if self.image.update(update) {
@@ -109,7 +110,17 @@
             self.parts.shared.metrics.told_by_peers.inc();
             let after = self.image.versions();
             let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
-            log::info!(peer:% = peer, took_ms, before:? = before, after:? = after; "took newer tables from a peer");
+            log::info!(peer = peer.vm.as_str(), took_ms, before:? = before, after:? = after; "took newer tables from a peer");
+            self.publish();
+        }
+    }
+
+    /// Takes in a configuration that came from peers.
+    pub(super) fn configure(&mut self, fetched: Fetched) {
+        let version = fetched.version;
+        if self.image.configure(fetched) {
+            self.parts.shared.metrics.told_by_peers.inc();
+            log::info!(version:% = version; "took a newer configuration from peers");
             self.publish();
         }
     }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -9,12 +9,13 @@
 mod changes;
 mod duties;
 mod peers;
+mod questions;
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Member, Upstream, Version};
+use cloverpost_core::directory::{Editions, Fetch, Image, Member, Upstream, Version};
 use cloverpost_core::time;
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -65,8 +66,11 @@
     swept: time::Moment,
     shared_evidence: time::Moment,
     asked: time::Moment,
-    /// Questions to peers that failed since the last one that was answered.
-    unanswered: u32,
+    questions: questions::Questions,
+    /// The configuration, as peers fetch it.
+    editions: Editions,
+    /// What is fetched of a newer one.
+    fetch: Fetch,
     is_writing: bool,
     loads: loads::Loads,
     /// When a peer last said that it hears from the store.
@@ -98,7 +102,9 @@
             swept: time::Moment::default(),
             shared_evidence: time::Moment::default(),
             asked: time::Moment::default(),
-            unanswered: 0,
+            questions: questions::Questions::default(),
+            editions: Editions::default(),
+            fetch: Fetch::default(),
             is_writing: false,
             loads: loads::Loads::default(),
             fresh: None,
@@ -141,7 +147,9 @@
             }
             Command::Lost { topic, error } => state.lose(topic, &error),
             Command::Peer(incoming) => state.hear(&myself, *incoming),
-            Command::Answered { peer, took, result } => state.take_answer(&peer, took, result),
+            Command::Answered { peer, took, answer } => {
+                state.take_answer(&myself, &peer, took, answer);
+            }
             Command::Written => state.is_writing = false,
             Command::Tick => state.tick(&myself),
         }
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -1,8 +1,8 @@
 //! What VMs tell and ask each other.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use cloverpost_core::directory::Update;
+use cloverpost_core::directory::Member;
 use cloverpost_core::{directory, exposure, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -18,8 +18,7 @@
 /// hears nothing from the store is missed by all once in a hundred changes, and
 /// it asks by itself a moment later.
 const TOLD: usize = 3;
-/// Least time between them while tables change; each may bring a table's worth of
-/// bytes to every listener.
+/// Least time between them while tables change; each may bring a question of every listener.
 const TELL_LEAST: Duration = Duration::from_millis(120);
 /// Time since the store's last answer within which a watcher counts as hearing from
 /// it. Upstreams write about once a second, and each write is an answer.
@@ -133,47 +132,45 @@
             }
             _ => return,
         };
+        let from = Member {
+            vm: incoming.from.vm,
+            zone: incoming.from.zone,
+            address: incoming.from.address,
+            seen_ms: 0,
+        };
         match message {
-            directory::Message::Have(versions) => {
-                if self.image.versions().is_behind(&versions) {
-                    let target = peer::Target {
-                        vm: incoming.from.vm,
-                        address: incoming.from.address,
-                    };
-                    self.ask(myself, target);
-                }
+            directory::Message::Have(changes) => {
+                let lacks = self.image.versions().lacks_orders(&changes);
+                self.hear_of(myself, from, changes, lacks);
             }
-            directory::Message::Fresh(changed) => {
+            directory::Message::Fresh(changes) => {
                 let now = self.now();
                 self.fresh = Some(now);
                 self.heard = now;
-                let is_old = self.image.versions().is_older_than(&changed);
-                if is_old && now.since(self.asked) > TELL_LEAST {
-                    self.asked = now;
-                    let target = peer::Target {
-                        vm: incoming.from.vm,
-                        address: incoming.from.address,
-                    };
-                    self.ask(myself, target);
-                }
+                let lacks = self.image.versions().is_older_than(&changes);
+                self.hear_of(myself, from, changes, lacks);
             }
             directory::Message::Ask(versions) => {
-                let newer = Box::new(self.image.since(&versions));
-                self.parts.shared.metrics.answers.inc();
-                incoming
-                    .reply
-                    .send(Message::Directory(directory::Message::Tell(newer)));
+                let update = Box::new(self.image.since(&versions));
+                self.answer(incoming.reply, directory::Message::Tell(update));
             }
-            directory::Message::Tell(update) => {
-                let target = peer::Target {
-                    vm: incoming.from.vm,
-                    address: incoming.from.address,
-                };
-                self.update(&target, Duration::ZERO, *update);
+            directory::Message::Fetch { version, offset } => {
+                let table = &self.image.configuration;
+                // Without an answer the peer learns at once that there is none.
+                if let Some(piece) = self.editions.piece(table, version, offset) {
+                    self.answer(incoming.reply, directory::Message::Piece(piece));
+                }
             }
+            // Answers come to the questions that they belong to.
+            directory::Message::Tell(_) | directory::Message::Piece(_) => {}
         }
     }
 
+    fn answer(&self, reply: peer::Reply, message: directory::Message) {
+        self.parts.shared.metrics.answers.inc();
+        reply.send(Message::Directory(message));
+    }
+
     pub(super) fn others(&self) -> Vec<peer::Target> {
         let members = self.image.members.rows.values();
         members
@@ -193,79 +190,4 @@
             self.send(&target, &have);
         }
     }
-
-    pub(super) fn ask_a_peer(&self, myself: &ActorRef<Command>) {
-        let mut others = self.others();
-        if others.is_empty() {
-            return;
-        }
-        let target = others.swap_remove(rand::random_range(0..others.len()));
-        self.ask(myself, target);
-    }
-
-    pub(super) fn ask(&self, myself: &ActorRef<Command>, target: peer::Target) {
-        let links = self.parts.links.clone();
-        let ask = Message::Directory(directory::Message::Ask(self.image.versions()));
-        let keeper = myself.clone();
-        tokio::spawn(async move {
-            let started = Instant::now();
-            let result = match links.request(&target, &ask).await {
-                Ok(Message::Directory(directory::Message::Tell(update))) => Ok(update),
-                // A peer of another make: it has no tables for this VM.
-                Ok(_) => Err(peer::Error::Unanswered),
-                Err(error) => Err(error),
-            };
-            let answered = Command::Answered {
-                peer: target,
-                took: started.elapsed(),
-                result,
-            };
-            // The keeper is gone only while the process ends.
-            let _ = keeper.cast(answered);
-        });
-    }
-
-    /// Takes the end of a question in.
-    pub(super) fn take_answer(
-        &mut self,
-        peer: &peer::Target,
-        took: Duration,
-        result: Result<Box<Update>, peer::Error>,
-    ) {
-        let name = match &result {
-            Ok(_) => "answered",
-            Err(peer::Error::TimedOut) => "timed_out",
-            Err(peer::Error::Pausing) => "pausing",
-            Err(_) => "failed",
-        };
-        let metrics = &self.parts.shared.metrics;
-        metrics.questions.with_label_values(&[name]).inc();
-        match result {
-            Ok(update) => {
-                self.note_answered();
-                self.update(peer, took, *update);
-            }
-            Err(error) => self.note_unanswered(peer, took, &error),
-        }
-    }
-
-    /// Tells of peers that answer no more, once until one does again.
-    fn note_unanswered(&mut self, peer: &peer::Target, took: Duration, error: &peer::Error) {
-        self.unanswered = self.unanswered.saturating_add(1);
-        if self.unanswered == 1 {
-            let took_ms = millis(took);
-            log::warn!(peer:% = peer, why:% = error, took_ms; "a peer did not answer a question");
-        }
-    }
-
-    fn note_answered(&mut self) {
-        let failed = std::mem::take(&mut self.unanswered);
-        if failed > 0 {
-            log::info!(failed; "peers answer questions again");
-        }
-    }
-}
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/crates/cloverpost/src/gateway/control/questions.rs
@@ -0,0 +1,192 @@
+//! Questions to peers: for what changed in the tables, and for a newer configuration.
+//!
+//! One question of each kind is under way at a time. Asked again before they were answered,
+//! peers send the same rows several times over; their links fill up with them, and every answer
+//! comes later than the last. The two kinds do not wait for each other: a large configuration
+//! must not hold up the news that an upstream leaves.
+
+use std::time::{Duration, Instant};
+
+use cloverpost_core::directory::{Member, Piece, Update, Versions};
+use cloverpost_core::{directory, id};
+use cloverpost_wire::Message;
+use ractor::ActorRef;
+
+use crate::gateway::codec::Codec;
+use crate::gateway::command::{Answer, Command};
+use crate::gateway::control::State;
+use crate::gateway::store::Store;
+use crate::peer;
+
+/// What is asked and what has been heard of meanwhile.
+#[derive(Debug, Default)]
+pub struct Questions {
+    /// Whether an answer about changed rows is awaited.
+    is_asking: bool,
+    /// The last peer that has newer rows, with the versions of its changes.
+    told: Option<(Member, Versions)>,
+    /// Questions that failed since the last one that was answered.
+    failed: u32,
+}
+
+impl<C: Codec, S: Store> State<C, S> {
+    /// Takes in that `from` has `changes`; `lacks` says whether this VM lacks rows of them.
+    pub(super) fn hear_of(
+        &mut self,
+        myself: &ActorRef<Command>,
+        from: Member,
+        changes: Versions,
+        lacks: bool,
+    ) {
+        self.fetch.hear(from.clone(), changes.configuration);
+        if lacks {
+            self.questions.told = Some((from, changes));
+        }
+        self.ask_whoever_told(myself);
+        self.fetch_on(myself);
+    }
+
+    /// Asks the last peer that has newer rows, if this VM still lacks any.
+    fn ask_whoever_told(&mut self, myself: &ActorRef<Command>) {
+        if self.questions.is_asking {
+            return;
+        }
+        if let Some((peer, changes)) = self.questions.told.take()
+            && self.image.versions().is_older_than(&changes)
+        {
+            self.ask(myself, &peer);
+        }
+    }
+
+    /// Asks any peer.
+    pub(super) fn ask_a_peer(&mut self, myself: &ActorRef<Command>) {
+        let members = self.image.members.rows.values().map(|row| &row.value);
+        let others: Vec<_> = members.filter(|one| one.vm != self.parts.own.vm).collect();
+        if self.questions.is_asking || others.is_empty() {
+            return;
+        }
+        let peer = others[rand::random_range(0..others.len())].clone();
+        self.ask(myself, &peer);
+    }
+
+    fn ask(&mut self, myself: &ActorRef<Command>, peer: &Member) {
+        self.questions.is_asking = true;
+        let ask = directory::Message::Ask(self.image.versions());
+        self.put(myself, peer, ask);
+    }
+
+    /// Asks for the next piece of a newer configuration, if there is one.
+    pub(super) fn fetch_on(&mut self, myself: &ActorRef<Command>) {
+        let own = self.image.configuration.version;
+        let zone = &self.parts.own.zone;
+        if let Some(question) = self.fetch.next(own, zone, &mut rand::rng()) {
+            let fetch = directory::Message::Fetch {
+                version: question.version,
+                offset: question.offset,
+            };
+            self.put(myself, &question.holder, fetch);
+        }
+    }
+
+    /// Sends a question; its end comes back as a command.
+    fn put(&self, myself: &ActorRef<Command>, peer: &Member, question: directory::Message) {
+        let target = peer::Target {
+            vm: peer.vm.clone(),
+            address: peer.address,
+        };
+        let peer = peer.clone();
+        let links = self.parts.links.clone();
+        let keeper = myself.clone();
+        let fetches = matches!(question, directory::Message::Fetch { .. });
+        tokio::spawn(async move {
+            let started = Instant::now();
+            let result = links.request(&target, &Message::Directory(question)).await;
+            let took = started.elapsed();
+            let answer = match (result, fetches) {
+                (Ok(Message::Directory(directory::Message::Tell(update))), false) => {
+                    Answer::Rows(Ok(update))
+                }
+                (Ok(Message::Directory(directory::Message::Piece(piece))), true) => {
+                    Answer::Piece(Ok(piece))
+                }
+                (Err(error), false) => Answer::Rows(Err(error)),
+                (Err(error), true) => Answer::Piece(Err(error)),
+                // It answers something else, and so not the question.
+                (Ok(_), false) => Answer::Rows(Err(peer::Error::Unanswered)),
+                (Ok(_), true) => Answer::Piece(Err(peer::Error::Unanswered)),
+            };
+            // The keeper is gone only while the process ends.
+            let _ = keeper.cast(Command::Answered { peer, took, answer });
+        });
+    }
+
+    /// Takes the end of a question in, and goes on with what is still lacking.
+    pub(super) fn take_answer(
+        &mut self,
+        myself: &ActorRef<Command>,
+        peer: &Member,
+        took: Duration,
+        answer: Answer,
+    ) {
+        match answer {
+            Answer::Rows(result) => {
+                self.questions.is_asking = false;
+                self.count(peer, took, result.as_ref().err());
+                match result {
+                    Ok(update) => self.take_rows(peer, took, *update),
+                    Err(_) => self.forget_told_by(&peer.vm),
+                }
+            }
+            Answer::Piece(result) => {
+                self.count(peer, took, result.as_ref().err());
+                match result {
+                    Ok(piece) => self.take_piece(peer, &piece),
+                    Err(_) => self.fetch.fail(&peer.vm),
+                }
+            }
+        }
+        self.ask_whoever_told(myself);
+        self.fetch_on(myself);
+    }
+
+    fn take_rows(&mut self, peer: &Member, took: Duration, update: Update) {
+        self.fetch.hear(peer.clone(), update.configuration);
+        self.update(peer, took, update);
+    }
+
+    fn take_piece(&mut self, peer: &Member, piece: &Piece) {
+        if let Some(fetched) = self.fetch.take(&peer.vm, piece) {
+            self.configure(fetched);
+        }
+    }
+
+    /// A peer that does not answer is asked again once it is heard of again.
+    fn forget_told_by(&mut self, vm: &id::Vm) {
+        self.questions.told = self.questions.told.take().filter(|(one, _)| one.vm != *vm);
+    }
+
+    /// Counts the end of a question. The first that fails is told, and how many had failed
+    /// when one is answered again.
+    fn count(&mut self, peer: &Member, took: Duration, error: Option<&peer::Error>) {
+        let name = match error {
+            None => "answered",
+            Some(peer::Error::TimedOut) => "timed_out",
+            Some(peer::Error::Pausing) => "pausing",
+            Some(_) => "failed",
+        };
+        let metrics = &self.parts.shared.metrics;
+        metrics.questions.with_label_values(&[name]).inc();
+        let Some(error) = error else {
+            let failed = std::mem::take(&mut self.questions.failed);
+            if failed > 0 {
+                log::info!(failed; "peers answer questions again");
+            }
+            return;
+        };
+        self.questions.failed = self.questions.failed.saturating_add(1);
+        if self.questions.failed == 1 {
+            let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(peer = peer.vm.as_str(), why:% = error, took_ms; "a peer did not answer a question");
+        }
+    }
+}
