fix(cloverpost): a roll-out's write is not repeated before its row can have changed

Ruled out: a writer that loses its answers (all were answered). Change: the same write waits a second, a quarter of one if the store did not take it; a VM that came second asks a peer for the row.

--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -4,6 +4,7 @@
 
 use cloverpost_core::directory::{Member, Page, Piece, Update};
 
+use crate::gateway::rollouts::Step;
 use crate::gateway::store::{Error, Topic};
 use crate::peer;
 
@@ -46,8 +47,8 @@
         /// What came of it.
         answer: Answer,
     },
-    /// A write ended.
-    Written,
+    /// Writes that move roll-outs on have ended.
+    Written(Vec<(Step, Result<(), Error>)>),
     /// Time has passed.
     Tick,
 }
--- a/crates/cloverpost/src/gateway/control/duties.rs
+++ b/crates/cloverpost/src/gateway/control/duties.rs
@@ -9,7 +9,7 @@
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
 use crate::gateway::rollouts;
-use crate::gateway::store::{Store, Topic};
+use crate::gateway::store::{Error, Store, Topic};
 
 /// Time between questions to peers while the store does not answer.
 const ASK: Duration = Duration::from_millis(250);
@@ -61,35 +61,52 @@
     }
 
     pub(super) fn drive_rollouts(&mut self, myself: &ActorRef<Command>) {
-        if self.is_writing || self.lost.contains_key(&Topic::Operators) {
+        if self.writes.are_under_way() || self.lost.contains_key(&Topic::Operators) {
             return;
         }
         let steps = rollouts::steps(&self.parts.shared, &self.image);
+        let steps = self.writes.begin(steps, self.now());
         if steps.is_empty() {
             return;
         }
-        self.is_writing = true;
         let store = self.parts.store.clone();
         let keeper = myself.clone();
         tokio::spawn(async move {
+            let mut ended = Vec::new();
             for step in steps {
-                write(&store, &step).await;
+                let result = write(&store, &step).await;
+                ended.push((step, result));
             }
             // The keeper is gone only while the process ends.
-            let _ = keeper.cast(Command::Written);
+            let _ = keeper.cast(Command::Written(ended));
         });
     }
+
+    /// Takes in how writes ended. A VM that came second lacks the first one's row.
+    pub(super) fn note_written(
+        &mut self,
+        myself: &ActorRef<Command>,
+        ended: &[(rollouts::Step, Result<(), Error>)],
+    ) {
+        if self.writes.end(ended, self.now()) {
+            self.ask_a_peer(myself);
+        }
+    }
 }
 
-async fn write<S: Store>(store: &S, step: &rollouts::Step) {
+async fn write<S: Store>(store: &S, step: &rollouts::Step) -> Result<(), Error> {
     let progress = &step.progress;
     let result = store.write_progress(progress, step.expected).await;
-    let outcome = result.map_or_else(|error| error.to_string(), |()| "written".to_owned());
+    let outcome = match &result {
+        Ok(()) => "written".to_owned(),
+        Err(error) => error.to_string(),
+    };
     log::info!(
         service = progress.service.as_str(), target_version = progress.target.as_str(),
         state:? = progress.state, why = step.why, evidence = step.evidence.as_str(), expected:% = step.expected, outcome = outcome.as_str();
         "roll-out moves on"
     );
+    result
 }
 
 /// Lists this VM, again and again until the store has taken it.
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -10,6 +10,7 @@
 mod duties;
 mod peers;
 mod questions;
+mod writes;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -71,7 +72,7 @@
     editions: Editions,
     /// What is fetched of a newer one.
     fetch: Fetch,
-    is_writing: bool,
+    writes: writes::Writes,
     loads: loads::Loads,
     /// When a peer last said that it hears from the store.
     fresh: Option<time::Moment>,
@@ -105,7 +106,7 @@
             questions: questions::Questions::default(),
             editions: Editions::default(),
             fetch: Fetch::default(),
-            is_writing: false,
+            writes: writes::Writes::default(),
             loads: loads::Loads::default(),
             fresh: None,
             told: time::Moment::default(),
@@ -150,7 +151,7 @@
             Command::Answered { peer, took, answer } => {
                 state.take_answer(&myself, &peer, took, answer);
             }
-            Command::Written => state.is_writing = false,
+            Command::Written(ended) => state.note_written(&myself, &ended),
             Command::Tick => state.tick(&myself),
         }
         Ok(())
