fix(cloverpost): a silent peer holds up the next question for 0.4 s, not for a second

Cause: found by reading the mend: with one question under way at a time, a peer that dies as it is asked holds up news of leavers for the whole second after which it is given up; with the pauses of feeds (0.8 s) and followers (0.35 s) that is over the two seconds of small sites. Change: after 0.4 s another peer may be asked as well; late answers change nothing (core::directory::Asked).

--- a/crates/cloverpost-core/src/directory/fetch.rs
+++ b/crates/cloverpost-core/src/directory/fetch.rs
@@ -1,7 +1,7 @@
 //! Fetches a newer configuration from peers, piece by piece.
 //!
-//! One piece is asked for at a time, each of any peer that has the version: a slow or a dead
-//! peer costs one piece, and several share the work. A version that was begun is seen through
+//! One piece is asked for at a time, each of any peer that has the version, and of another one
+//! if that takes long: several share the work, and a dead one costs little. A version that was begun is seen through
 //! although a newer one is known, or changes that come faster than they can be fetched would
 //! leave a VM on the old one for as long as they last.
 
@@ -9,8 +9,8 @@
 
 use rand::seq::IteratorRandom;
 
-use crate::directory::{Change, Configuration, Member, Piece, Version, encoded};
-use crate::id;
+use crate::directory::{Asked, Change, Configuration, Member, Piece, Version, encoded};
+use crate::{id, time};
 
 /// What a peer is asked for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +30,8 @@
     pub version: Version,
     /// Its rows.
     pub rows: Vec<Change<Configuration>>,
+    /// When its first piece came.
+    pub since: time::Moment,
 }
 
 /// The pieces of one version that have come.
@@ -39,6 +41,7 @@
     digest: u64,
     len: usize,
     bytes: Vec<u8>,
+    since: time::Moment,
 }
 
 /// What is known of newer configurations, and what has come of one.
@@ -47,7 +50,7 @@
     /// Peers, each with the newest version that it said it has.
     holders: BTreeMap<id::Vm, (Member, Version)>,
     partial: Option<Partial>,
-    is_asking: bool,
+    asked: Asked,
 }
 
 impl Fetch {
@@ -60,11 +63,12 @@
     /// none while an answer is awaited. Peers in the same zone come first.
     pub fn next(
         &mut self,
+        now: time::Moment,
         own: Version,
         zone: &id::AvailabilityZone,
         rng: &mut impl rand::Rng,
     ) -> Option<Question> {
-        if self.is_asking {
+        if !self.asked.may_ask(now) {
             return None;
         }
         self.holders.retain(|_, (_, version)| *version > own);
@@ -74,7 +78,7 @@
             None => self.holders.values().map(|(_, version)| *version).max()?,
         };
         let holder = self.holder(wanted, zone, rng)?;
-        self.is_asking = true;
+        self.asked.put(holder.vm.clone(), now);
         Some(Question {
             holder,
             version: wanted,
@@ -90,7 +94,8 @@
     ) -> Option<Member> {
         let having = || {
             let holders = self.holders.values();
-            holders.filter(move |(_, version)| *version >= wanted)
+            let prompt = holders.filter(|(holder, _)| !self.asked.is_awaited(&holder.vm));
+            prompt.filter(move |(_, version)| *version >= wanted)
         };
         let near = having().filter(|(holder, _)| holder.zone == *zone);
         let chosen = near.choose(rng).or_else(|| having().choose(rng));
@@ -98,8 +103,8 @@
     }
 
     /// Takes a piece in; the configuration, once it is whole.
-    pub fn take(&mut self, from: &id::Vm, piece: &Piece) -> Option<Fetched> {
-        self.is_asking = false;
+    pub fn take(&mut self, from: &id::Vm, piece: &Piece, now: time::Moment) -> Option<Fetched> {
+        self.asked.end(from);
         if piece.len > encoded::LARGEST || piece.bytes.is_empty() {
             self.holders.remove(from);
             return None;
@@ -107,29 +112,10 @@
         if let Some((_, version)) = self.holders.get_mut(from) {
             *version = piece.version.max(*version);
         }
-        let fits = |partial: &Partial| {
-            partial.version == piece.version
-                && partial.digest == piece.digest
-                && partial.bytes.len() == piece.offset
-        };
-        if !self.partial.as_ref().is_some_and(fits) {
-            self.partial = None;
-        }
-        if self.partial.is_none() && piece.offset > 0 {
-            // Of another encoding than what had come; it starts anew.
-            return None;
-        }
-        let partial = self.partial.get_or_insert_with(|| Partial {
-            version: piece.version,
-            digest: piece.digest,
-            len: piece.len,
-            bytes: Vec::with_capacity(piece.len),
-        });
-        partial.bytes.extend_from_slice(&piece.bytes);
-        if partial.bytes.len() < partial.len {
+        if !self.join(piece, now) {
             return None;
         }
-        let whole = self.partial.take()?;
+        let whole = self.partial.take_if(|one| one.bytes.len() >= one.len)?;
         let rows = encoded::decode(&whole.bytes, whole.digest);
         if rows.is_none() {
             self.holders.remove(from);
@@ -137,12 +123,45 @@
         Some(Fetched {
             version: whole.version,
             rows: rows?,
+            since: whole.since,
         })
     }
 
+    /// Joins `piece` to what has come; whether it belongs there.
+    fn join(&mut self, piece: &Piece, now: time::Moment) -> bool {
+        if self
+            .partial
+            .as_ref()
+            .is_some_and(|partial| partial.version > piece.version)
+        {
+            // The late answer of a peer that was asked for an earlier version.
+            return false;
+        }
+        let is_same = |partial: &mut Partial| {
+            partial.version == piece.version && partial.digest == piece.digest
+        };
+        // Pieces of two versions, or of two encodings of one, make no configuration.
+        if self.partial.take_if(|partial| !is_same(partial)).is_some() && piece.offset > 0 {
+            return false;
+        }
+        let partial = self.partial.get_or_insert_with(|| Partial {
+            version: piece.version,
+            digest: piece.digest,
+            len: piece.len,
+            bytes: Vec::with_capacity(piece.len),
+            since: now,
+        });
+        // It has come already, from a peer that was asked as well.
+        if piece.offset != partial.bytes.len() {
+            return false;
+        }
+        partial.bytes.extend_from_slice(&piece.bytes);
+        true
+    }
+
     /// Notes that `from` did not answer. It is not asked again until it is heard of.
     pub fn fail(&mut self, from: &id::Vm) {
-        self.is_asking = false;
+        self.asked.end(from);
         self.holders.remove(from);
     }
 }
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -5,6 +5,7 @@
 //! tell; the newest version of a table wins, whoever brought it. A
 //! [`View`] is what the request path reads: indexes over one state of the image.
 
+mod asked;
 mod configuration;
 pub mod encoded;
 pub mod fetch;
@@ -27,6 +28,7 @@
 mod view;
 mod watchers;
 
+pub use asked::Asked;
 pub use configuration::Configuration;
 pub use encoded::Editions;
 pub use fetch::Fetch;
--- a/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
@@ -9,6 +9,7 @@
     Configuration, Editions, Fetch, Image, Member, Page, Piece, Rows, Table, Version,
 };
 use cloverpost_core::id;
+use cloverpost_core::time::Moment;
 use proptest::prelude::*;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -45,7 +46,12 @@
 }
 
 fn ask(fetch: &mut Fetch, own: u64) -> Option<Question> {
-    fetch.next(Version::new(own), &zone("a"), &mut rng())
+    ask_at(fetch, own, 0)
+}
+
+fn ask_at(fetch: &mut Fetch, own: u64, millis: u64) -> Option<Question> {
+    let now = Moment::from_millis(millis);
+    fetch.next(now, Version::new(own), &zone("a"), &mut rng())
 }
 
 /// Fetches from peers that hold `tables` until something is whole; the pieces asked of each.
@@ -59,7 +65,7 @@
     let mut rng = rng();
     loop {
         let question = fetch
-            .next(Version::new(own), &zone("a"), &mut rng)
+            .next(Moment::default(), Version::new(own), &zone("a"), &mut rng)
             .expect("somebody has it");
         let vm = question.holder.vm;
         *asked.entry(vm.clone()).or_default() += 1;
@@ -69,7 +75,7 @@
             fetch.fail(&vm);
             continue;
         };
-        if let Some(fetched) = fetch.take(&vm, &piece) {
+        if let Some(fetched) = fetch.take(&vm, &piece, Moment::default()) {
             return (fetched, asked);
         }
     }
@@ -103,6 +109,44 @@
     assert!(ask(&mut fetch, 1).is_none());
 }
 
+#[test]
+fn a_silent_peer_holds_up_one_piece_for_a_moment() {
+    // The peer that was asked has lost its power: nothing comes, and that it is gone shows only
+    // after a second. Another peer is asked for the same piece. If the first one answers after
+    // all, its piece is not joined a second time.
+    let held = table(4, 800);
+    let mut editions = Editions::default();
+    let mut fetch = Fetch::default();
+    for vm in ["vm-1", "vm-2"] {
+        fetch.hear(member(vm, "a"), Version::new(4));
+    }
+    let first = ask(&mut fetch, 1).unwrap();
+    assert!(ask_at(&mut fetch, 1, 300).is_none());
+    let second = ask_at(&mut fetch, 1, 500).unwrap();
+    assert_ne!(first.holder.vm, second.holder.vm);
+    assert_eq!(first.offset, second.offset);
+    let piece = editions.piece(&held, second.version, second.offset);
+    let piece = piece.unwrap();
+    fetch.take(&second.holder.vm, &piece, Moment::from_millis(510));
+    fetch.take(&first.holder.vm, &piece, Moment::from_millis(520));
+    assert_eq!(ask_at(&mut fetch, 1, 530).unwrap().offset, PIECE);
+}
+
+#[test]
+fn a_late_piece_of_an_older_version_does_not_undo_what_has_come() {
+    let mut editions = Editions::default();
+    let vm: id::Vm = "vm-1".parse().unwrap();
+    let late = editions.piece(&table(4, 800), Version::new(4), 0).unwrap();
+    let newer = editions.piece(&table(9, 800), Version::new(9), 0).unwrap();
+    let mut fetch = Fetch::default();
+    fetch.hear(member("vm-1", "a"), Version::new(9));
+    ask(&mut fetch, 4).unwrap();
+    fetch.take(&vm, &newer, Moment::default());
+    fetch.take(&vm, &late, Moment::default());
+    let next = ask(&mut fetch, 4).unwrap();
+    assert_eq!((next.version, next.offset), (Version::new(9), PIECE));
+}
+
 #[test]
 fn what_has_come_stays_when_a_peer_fails() {
     // The peer that has sent the first piece dies. Another one has the same version: the rest
@@ -113,7 +157,11 @@
     fetch.hear(member("vm-1", "a"), Version::new(4));
     let first = ask(&mut fetch, 1).unwrap();
     let piece = editions.piece(&held, first.version, 0).unwrap();
-    assert!(fetch.take(&first.holder.vm, &piece).is_none());
+    assert!(
+        fetch
+            .take(&first.holder.vm, &piece, Moment::default())
+            .is_none()
+    );
     ask(&mut fetch, 1).unwrap();
     fetch.fail(&first.holder.vm);
     assert!(ask(&mut fetch, 1).is_none(), "nobody is left to ask");
@@ -149,7 +197,7 @@
     while fetched.is_none() {
         let question = ask(&mut fetch, 1).unwrap();
         let piece = editions.piece(&held, question.version, question.offset);
-        fetched = fetch.take(&vm, &piece.unwrap());
+        fetched = fetch.take(&vm, &piece.unwrap(), Moment::default());
         if version < 7 {
             version += 1;
             held = table(version, 800);
@@ -168,13 +216,17 @@
     let first = ask(&mut fetch, 1).unwrap();
     let mut editions = Editions::default();
     let piece = editions.piece(&table(4, 800), first.version, 0).unwrap();
-    fetch.take(&first.holder.vm, &piece);
+    fetch.take(&first.holder.vm, &piece, Moment::default());
     let next = ask(&mut fetch, 1).unwrap();
     // It has started anew meanwhile, and knows the newest version only.
     let piece = Editions::default().piece(&table(9, 800), next.version, next.offset);
     let piece = piece.unwrap();
     assert_eq!((piece.version, piece.offset), (Version::new(9), 0));
-    assert!(fetch.take(&next.holder.vm, &piece).is_none());
+    assert!(
+        fetch
+            .take(&next.holder.vm, &piece, Moment::default())
+            .is_none()
+    );
     let last = ask(&mut fetch, 1).unwrap();
     assert_eq!((last.version, last.offset), (Version::new(9), PIECE));
 }
@@ -187,10 +239,14 @@
     fetch.hear(member("vm-1", "a"), Version::new(4));
     let first = ask(&mut fetch, 1).unwrap();
     let piece = Editions::default().piece(&table(4, 800), first.version, 0);
-    fetch.take(&first.holder.vm, &piece.unwrap());
+    fetch.take(&first.holder.vm, &piece.unwrap(), Moment::default());
     let next = ask(&mut fetch, 1).unwrap();
     let other = Editions::default().piece(&table(4, 900), next.version, next.offset);
-    assert!(fetch.take(&next.holder.vm, &other.unwrap()).is_none());
+    assert!(
+        fetch
+            .take(&next.holder.vm, &other.unwrap(), Moment::default())
+            .is_none()
+    );
     assert_eq!(ask(&mut fetch, 1).unwrap().offset, 0);
 }
 
@@ -223,7 +279,11 @@
         let mut fetch = Fetch::default();
         fetch.hear(member("vm-1", "a"), Version::new(4));
         ask(&mut fetch, 1).unwrap();
-        assert_eq!(fetch.take(&vm, &piece), None, "{piece:?}");
+        assert_eq!(
+            fetch.take(&vm, &piece, Moment::default()),
+            None,
+            "{piece:?}"
+        );
     }
 }
 
@@ -272,13 +332,13 @@
             for (name, version) in names.iter().zip(&versions) {
                 fetch.hear(member(name, "a"), Version::new(*version));
             }
-            let Some(question) = fetch.next(own, &zone("a"), &mut rng) else { break };
+            let Some(question) = fetch.next(Moment::default(), own, &zone("a"), &mut rng) else { break };
             let at = names.iter().position(|one| *one == question.holder.vm.as_str()).unwrap();
             let held = table(versions[at], 600);
             let piece = editions[at].piece(&held, question.version, question.offset);
             match piece {
                 Some(piece) if !failures.next().unwrap_or(false) => {
-                    if let Some(fetched) = fetch.take(&question.holder.vm, &piece) {
+                    if let Some(fetched) = fetch.take(&question.holder.vm, &piece, Moment::default()) {
                         let expected = table(fetched.version.get(), 600);
                         prop_assert_eq!(&fetched.rows[0].value, &Some(expected.rows["config"].value.clone()));
                         own = fetched.version;
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -118,9 +118,11 @@
     /// Takes in a configuration that came from peers.
     pub(super) fn configure(&mut self, fetched: Fetched) {
         let version = fetched.version;
+        let took_ms =
+            u64::try_from(self.now().since(fetched.since).as_millis()).unwrap_or(u64::MAX);
         if self.image.configure(fetched) {
             self.parts.shared.metrics.told_by_peers.inc();
-            log::info!(version:% = version; "took a newer configuration from peers");
+            log::info!(version:% = version, took_ms; "took a newer configuration from peers");
             self.publish();
         }
     }
--- a/crates/cloverpost/src/gateway/control/duties.rs
+++ b/crates/cloverpost/src/gateway/control/duties.rs
@@ -37,6 +37,7 @@
             self.asked = now;
             self.ask_a_peer(myself);
         }
+        self.go_on(myself);
         self.share_loads();
         self.choose_to_follow();
         if now.since(self.told) > TELL {
--- a/crates/cloverpost/src/gateway/control/questions.rs
+++ b/crates/cloverpost/src/gateway/control/questions.rs
@@ -1,13 +1,14 @@
 //! Questions to peers: for what changed in the tables, and for a newer configuration.
 //!
-//! One question of each kind is under way at a time. Asked again before they were answered,
-//! peers send the same rows several times over; their links fill up with them, and every answer
-//! comes later than the last. The two kinds do not wait for each other: a large configuration
-//! must not hold up the news that an upstream leaves.
+//! One question of each kind is under way at a time, and one to another peer if the answer takes
+//! long. Asked again before they were answered, peers send the same rows several times over;
+//! their links fill up with them, and every answer comes later than the last. The two kinds do
+//! not wait for each other: a large configuration must not hold up the news that an upstream
+//! leaves.
 
 use std::time::{Duration, Instant};
 
-use cloverpost_core::directory::{Member, Piece, Update, Versions};
+use cloverpost_core::directory::{Asked, Member, Piece, Update, Versions};
 use cloverpost_core::{directory, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -21,8 +22,8 @@
 /// What is asked and what has been heard of meanwhile.
 #[derive(Debug, Default)]
 pub struct Questions {
-    /// Whether an answer about changed rows is awaited.
-    is_asking: bool,
+    /// Whose answer about changed rows is awaited.
+    asked: Asked,
     /// The last peer that has newer rows, with the versions of its changes.
     told: Option<(Member, Versions)>,
     /// Questions that failed since the last one that was answered.
@@ -42,27 +43,34 @@
         if lacks {
             self.questions.told = Some((from, changes));
         }
-        self.ask_whoever_told(myself);
-        self.fetch_on(myself);
+        self.go_on(myself);
     }
 
     /// Asks the last peer that has newer rows, if this VM still lacks any.
     fn ask_whoever_told(&mut self, myself: &ActorRef<Command>) {
-        if self.questions.is_asking {
-            return;
-        }
-        if let Some((peer, changes)) = self.questions.told.take()
+        let now = self.now();
+        let questions = &mut self.questions;
+        let may_ask =
+            |peer: &Member| questions.asked.may_ask(now) && !questions.asked.is_awaited(&peer.vm);
+        let told = questions.told.take_if(|(peer, _)| may_ask(peer));
+        if let Some((peer, changes)) = told
             && self.image.versions().is_older_than(&changes)
         {
             self.ask(myself, &peer);
         }
     }
 
+    /// Goes on with whatever is still lacking, also if a peer takes long to answer.
+    pub(super) fn go_on(&mut self, myself: &ActorRef<Command>) {
+        self.ask_whoever_told(myself);
+        self.fetch_on(myself);
+    }
+
     /// Asks any peer.
     pub(super) fn ask_a_peer(&mut self, myself: &ActorRef<Command>) {
         let members = self.image.members.rows.values().map(|row| &row.value);
         let others: Vec<_> = members.filter(|one| one.vm != self.parts.own.vm).collect();
-        if self.questions.is_asking || others.is_empty() {
+        if !self.questions.asked.may_ask(self.now()) || others.is_empty() {
             return;
         }
         let peer = others[rand::random_range(0..others.len())].clone();
@@ -70,16 +78,18 @@
     }
 
     fn ask(&mut self, myself: &ActorRef<Command>, peer: &Member) {
-        self.questions.is_asking = true;
+        let now = self.now();
+        self.questions.asked.put(peer.vm.clone(), now);
         let ask = directory::Message::Ask(self.image.versions());
         self.put(myself, peer, ask);
     }
 
     /// Asks for the next piece of a newer configuration, if there is one.
-    pub(super) fn fetch_on(&mut self, myself: &ActorRef<Command>) {
+    fn fetch_on(&mut self, myself: &ActorRef<Command>) {
+        let now = self.now();
         let own = self.image.configuration.version;
         let zone = &self.parts.own.zone;
-        if let Some(question) = self.fetch.next(own, zone, &mut rand::rng()) {
+        if let Some(question) = self.fetch.next(now, own, zone, &mut rand::rng()) {
             let fetch = directory::Message::Fetch {
                 version: question.version,
                 offset: question.offset,
@@ -130,7 +140,7 @@
     ) {
         match answer {
             Answer::Rows(result) => {
-                self.questions.is_asking = false;
+                self.questions.asked.end(&peer.vm);
                 self.count(peer, took, result.as_ref().err());
                 match result {
                     Ok(update) => self.take_rows(peer, took, *update),
@@ -145,8 +155,7 @@
                 }
             }
         }
-        self.ask_whoever_told(myself);
-        self.fetch_on(myself);
+        self.go_on(myself);
     }
 
     fn take_rows(&mut self, peer: &Member, took: Duration, update: Update) {
@@ -155,7 +164,8 @@
     }
 
     fn take_piece(&mut self, peer: &Member, piece: &Piece) {
-        if let Some(fetched) = self.fetch.take(&peer.vm, piece) {
+        let now = self.now();
+        if let Some(fetched) = self.fetch.take(&peer.vm, piece, now) {
             self.configure(fetched);
         }
     }
