--- a/crates/cloverpost-core/src/directory/fetch.rs
+++ b/crates/cloverpost-core/src/directory/fetch.rs
@@ -129,11 +129,8 @@
 
     /// Joins `piece` to what has come; whether it belongs there.
     fn join(&mut self, piece: &Piece, now: time::Moment) -> bool {
-        if self
-            .partial
-            .as_ref()
-            .is_some_and(|partial| partial.version > piece.version)
-        {
+        let begun = self.partial.as_ref().map(|partial| partial.version);
+        if begun > Some(piece.version) {
             // The late answer of a peer that was asked for an earlier version.
             return false;
         }
