perf(cloverpost-core): a change of one upstream no longer compares each with all

Ruled out: the choice of an upstream (0.5 ms at 3,000, 26 us at 160, at 5 requests a second). Change: sets; the copy only in the 2.2 s after the store's return, when it is used.

--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -24,7 +24,7 @@
 pub use rate::Rate;
 pub use want::Want;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,15 +56,12 @@
 
     /// Forgets upstreams that are not in `view` and idle.
     pub fn retain(&mut self, view: &directory::View) {
-        let known = |id: &id::Upstream| {
-            let mut upstreams = view.pools.values().flat_map(|pool| &pool.upstreams);
-            upstreams.any(|one| one.id == *id)
-        };
+        let known: HashSet<_> = view.upstreams().map(|one| &one.id).collect();
         self.loads
-            .retain(|id, load| load.in_flight > 0 || known(id));
+            .retain(|id, load| load.in_flight > 0 || known.contains(id));
         let loads = &self.loads;
         self.restarts
-            .retain(|id, _| known(id) || loads.contains_key(id));
+            .retain(|id, _| known.contains(id) || loads.contains_key(id));
     }
 
     /// The best of `upstreams` for `want`; `None` if none can take it.
--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -1,6 +1,6 @@
 //! What the request path reads.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use crate::directory::{Image, Index, Order, Progress, State, Upstream};
@@ -43,6 +43,18 @@
     pub allowed: Allowed,
 }
 
+impl Pool {
+    /// The upstreams of this pool that `other` has not.
+    pub fn without(&self, other: Option<&Self>) -> impl Iterator<Item = &Arc<Upstream>> {
+        // Searched one by one, 3,000 upstreams take 15.7 ms of a whole core at each change of one
+        // (0.3 ms with the set; release build, best of seven), and a VM may have an eighth.
+        let others = other.into_iter().flat_map(|pool| &pool.upstreams);
+        let others: HashSet<_> = others.map(|one| &one.id).collect();
+        let upstreams = self.upstreams.iter();
+        upstreams.filter(move |one| !others.contains(&one.id))
+    }
+}
+
 /// Indexes over one state of an [`Image`].
 #[derive(Clone, Debug, Default)]
 pub struct View {
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -33,14 +33,14 @@
             log::info!(topic = topic.as_str(), away_ms; "the store answers again");
             self.returned = Some(now);
         }
-        let before = self.image.upstreams.clone();
+        let before = self.upstreams_before(now);
         let changed = if whole {
             self.image.replace(page)
         } else {
             self.image.apply(page)
         };
         if topic == Topic::Upstreams {
-            self.note_missing(&before, now);
+            self.note_missing(before.as_ref(), now);
         }
         if changed {
             self.publish();
@@ -74,19 +74,23 @@
         }
     }
 
+    /// The upstreams as they are before a change, while it matters which go missing: a copy of
+    /// 3,000 takes a millisecond, and each answer of the store would make one.
+    fn upstreams_before(&self, now: time::Moment) -> Option<directory::Table<Upstream>> {
+        let returned = self.returned?;
+        (now < returned + RETURN_GRACE).then(|| self.image.upstreams.clone())
+    }
+
     /// Remembers upstreams whose entries lapsed while the store was away.
-    pub(super) fn note_missing(&mut self, before: &directory::Table<Upstream>, now: time::Moment) {
+    fn note_missing(&mut self, before: Option<&directory::Table<Upstream>>, now: time::Moment) {
         let rows = &self.image.upstreams.rows;
         self.missing.retain(|key, _| !rows.contains_key(key));
         let Some(returned) = self.returned else {
             return;
         };
         let until = returned + RETURN_GRACE;
-        if now >= until {
-            return;
-        }
-        for (key, row) in &before.rows {
-            if !rows.contains_key(key) && !row.value.is_leaving {
+        for (key, row) in before.into_iter().flat_map(|before| &before.rows) {
+            if now < until && !rows.contains_key(key) && !row.value.is_leaving {
                 self.missing.insert(key.clone(), (row.value.clone(), until));
             }
         }
@@ -104,9 +108,10 @@
     /// Takes in what a peer has newer.
     pub(super) fn update(&mut self, peer: &Member, took: Duration, update: Update) {
         let before = self.image.versions();
-        let upstreams = self.image.upstreams.clone();
+        let now = self.now();
+        let upstreams = self.upstreams_before(now);
         if self.image.update(update) {
-            self.note_missing(&upstreams, self.now());
+            self.note_missing(upstreams.as_ref(), now);
             self.parts.shared.metrics.told_by_peers.inc();
             let after = self.image.versions();
             let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
