fix(cloverpost): a roll-out's state is written by few VMs at a time

Cause: as an operator orders a roll-out, every VM whose tables say that it has not begun writes that it has. Ruled out: writes repeated at each tick (each VM tried once or twice). Change: the three judges go first, 150 ms apart, then four others, eight more and so on, each only if the state is still not written; reverts by judges are not delayed.

--- a/crates/cloverpost-core/src/exposure/judges.rs
+++ b/crates/cloverpost-core/src/exposure/judges.rs
@@ -1,7 +1,9 @@
-//! Which VMs pool the evidence of a roll-out.
+//! Which VMs pool the evidence of a roll-out, and which write its state when.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use std::time::Duration;
+
 use crate::id;
 
 /// VMs that pool the evidence. One may be dead, another frozen or cut off, and the
@@ -17,15 +19,44 @@
     service: &id::Pool,
     members: impl Iterator<Item = &'a id::Vm>,
 ) -> Vec<&'a id::Vm> {
-    let rank = |vm: &id::Vm| {
-        // The default hasher has no random state.
-        let mut hasher = DefaultHasher::new();
-        service.hash(&mut hasher);
-        vm.hash(&mut hasher);
-        hasher.finish()
-    };
     let mut ranked: Vec<_> = members.collect();
-    ranked.sort_by_key(|vm| rank(vm));
+    ranked.sort_by_cached_key(|vm| rank(service, vm));
     ranked.truncate(JUDGES);
     ranked
 }
+
+/// Time that each judge leaves to the one before it when a state is to be written.
+const JUDGE: Duration = Duration::from_millis(150);
+/// Time that the other VMs leave to the judges: news of what one wrote takes 0.5 s.
+const OTHERS: Duration = Duration::from_millis(600);
+/// Time that each further group of them, twice as large, leaves the one before it.
+const GROUP: Duration = Duration::from_millis(200);
+
+/// Time that `own` leaves to other VMs when a state of a roll-out of `service` is to be
+/// written.
+///
+/// Whoever comes second writes in vain. Of 295 VMs that all tried to begin a roll-out at once,
+/// one did and 379 writes failed, 150 of them refused since a part of the store takes no more
+/// than 150 a second. If all judges are gone, four VMs try in their place, then eight more.
+#[must_use]
+pub fn deference<'a>(
+    service: &id::Pool,
+    members: impl Iterator<Item = &'a id::Vm>,
+    own: &id::Vm,
+) -> Duration {
+    let key = rank(service, own);
+    let before = members.filter(|vm| rank(service, vm) < key).count();
+    if before < JUDGES {
+        return JUDGE * u32::try_from(before).unwrap_or(u32::MAX);
+    }
+    let group = ((before - JUDGES) / 4 + 1).ilog2();
+    OTHERS + GROUP * group
+}
+
+fn rank(service: &id::Pool, vm: &id::Vm) -> u64 {
+    // The default hasher has no random state.
+    let mut hasher = DefaultHasher::new();
+    service.hash(&mut hasher);
+    vm.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::{Rollout, Version};
-use cloverpost_core::exposure::{Allowance, Pins, Sessions, Stage, Tally, judges, stage};
+use cloverpost_core::exposure::{
+    Allowance, Pins, Sessions, Stage, Tally, deference, judges, stage,
+};
 use cloverpost_core::{id, time};
 use rstest::rstest;
 
@@ -270,6 +272,25 @@
     assert_eq!(judges(&service, names.iter().rev()), found);
 }
 
+#[test]
+fn few_vms_write_at_the_same_time() {
+    // An operator orders a roll-out and every VM may write that it has begun. One write counts;
+    // the others cost a call each, and a part of the store refuses more than 150 a second.
+    let names: Vec<id::Vm> = (0..300)
+        .map(|one| format!("vm-{one}").parse().unwrap())
+        .collect();
+    let service = "app".parse().unwrap();
+    let judges = judges(&service, names.iter());
+    let waits = |own| deference(&service, names.iter(), own);
+    let by = |millis| {
+        let limit = Duration::from_millis(millis);
+        names.iter().filter(|own| waits(own) <= limit).count()
+    };
+    assert_eq!((by(0), by(500), by(600), by(800)), (1, 3, 7, 15));
+    assert_eq!(by(2_000), 300, "the last ones write too if nobody else has");
+    assert_eq!(waits(judges[0]), Duration::ZERO);
+}
+
 #[test]
 fn a_session_is_remembered_for_as_long_as_its_requests_may_follow() {
     let mut sessions = Sessions::default();
--- a/crates/cloverpost/src/gateway/control/writes.rs
+++ b/crates/cloverpost/src/gateway/control/writes.rs
@@ -3,7 +3,8 @@
 //! A VM decides by its copy of a row. Until the copy changes it decides the same, and the write
 //! ends the same: done already, or behind another VM's. VMs that miss the news of a roll-out's end
 //! would each write it at every tick: 140 writes a second were seen from 20 VMs, a third of what
-//! the store takes from all.
+//! the store takes from all. For the same reason each VM leaves a step to those that come before
+//! it for a while.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -29,11 +30,27 @@
     again: time::Moment,
 }
 
+/// A step that is left to other VMs.
+#[derive(Debug)]
+struct Left {
+    expected: Version,
+    state: State,
+    since: time::Moment,
+}
+
+impl Left {
+    fn is(&self, step: &Step) -> bool {
+        self.expected == step.expected && self.state == step.progress.state
+    }
+}
+
 /// Writes under way and tried.
 #[derive(Debug, Default)]
 pub struct Writes {
     is_writing: bool,
     tried: HashMap<id::Pool, Tried>,
+    /// Steps that are left to other VMs, and since when they are due.
+    left: HashMap<id::Pool, Left>,
 }
 
 impl Writes {
@@ -44,11 +61,27 @@
 
     /// Those of `steps` that may be tried now; they count as under way.
     pub fn begin(&mut self, mut steps: Vec<Step>, now: time::Moment) -> Vec<Step> {
-        steps.retain(|step| self.is_due(step, now));
+        steps.retain(|step| self.has_waited(step, now) && self.is_due(step, now));
         self.is_writing = !steps.is_empty();
         steps
     }
 
+    /// Whether others have had their time for `step`.
+    fn has_waited(&mut self, step: &Step, now: time::Moment) -> bool {
+        let service = &step.progress.service;
+        if !self.left.get(service).is_some_and(|left| left.is(step)) {
+            let left = Left {
+                expected: step.expected,
+                state: step.progress.state,
+                since: now,
+            };
+            self.left.insert(service.clone(), left);
+        }
+        self.left
+            .get(service)
+            .is_some_and(|left| now.since(left.since) >= step.waits)
+    }
+
     fn is_due(&self, step: &Step, now: time::Moment) -> bool {
         let tried = self.tried.get(&step.progress.service);
         tried.is_none_or(|tried| {
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -5,6 +5,7 @@
 //! nothing behind that another could not go on with.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use cloverpost_core::directory::{Image, Order, Progress, State, Version, View};
 use cloverpost_core::{directory, exposure, id};
@@ -25,6 +26,8 @@
     pub progress: Progress,
     /// Version that the state's row must still have.
     pub expected: Version,
+    /// Time from when the step is due that is left to other VMs.
+    pub waits: Duration,
     /// Why, for the log.
     pub why: &'static str,
     /// What was known, for the log.
@@ -61,10 +64,15 @@
     let current = row
         .map(|row| &row.value)
         .filter(|progress| progress.answers(order, version));
+    let waits = || {
+        let vms = image.members.rows.values().map(|row| &row.value.vm);
+        exposure::deference(&order.service, vms, &shared.settings.load().vm)
+    };
     let Some(current) = current else {
         return Some(Step {
             progress: begin(image, order, version, shared.store_now_ms()),
             expected,
+            waits: waits(),
             why: "ordered",
             evidence: String::new(),
         });
@@ -80,6 +88,12 @@
     Some(Step {
         progress,
         expected,
+        // The evidence is with the judges, and each second counts against the allowance.
+        waits: if state == State::Reverted {
+            Duration::ZERO
+        } else {
+            waits()
+        },
         why,
         evidence: shared.evidence().summary(&order.service, version),
     })
