feat(cloverpost): few VMs call the store, also as all start and while it is away

As the two watchers of a zone are gone or turned away, all 47 others follow by themselves after 1.2 s, each three tables, each table tried by itself. Ruled out: steady long polls (some 10 a second in all); pages (one call brings 500 rows). Change: VMs of a zone are ranked, the largest first. While calls fail, one is made at a time. Watchers tell each other and those of the next zone, so that one whose connection went silent hears of changes. A part of a table that fails is asked for again by itself. Whoever listens learns from a watcher that the store has just come back, and keeps upstreams whose entries lapsed.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -1,5 +1,7 @@
 //! One VM's copy of all tables.
 
+use std::time::Duration;
+
 use crate::directory::encoded::newest;
 use crate::directory::fetch::Fetched;
 use crate::directory::{
@@ -63,6 +65,34 @@
     pub reason: String,
 }
 
+impl Page {
+    /// Adds the rows of `next`, which comes after this one. What changed between the two comes
+    /// again by the feed, which goes on from the version of the first.
+    pub fn join(&mut self, next: Self) {
+        self.unreadable.extend(next.unreadable);
+        match (&mut self.rows, next.rows) {
+            (
+                Rows::Operators {
+                    configuration,
+                    orders,
+                },
+                Rows::Operators {
+                    configuration: more,
+                    orders: more_orders,
+                },
+            ) => {
+                configuration.extend(more);
+                orders.extend(more_orders);
+            }
+            (Rows::Upstreams(rows), Rows::Upstreams(more)) => rows.extend(more),
+            (Rows::Progress(rows), Rows::Progress(more)) => rows.extend(more),
+            (Rows::Members(rows), Rows::Members(more)) => rows.extend(more),
+            // Pages of two topics are never joined: each is read by itself.
+            _ => {}
+        }
+    }
+}
+
 impl Image {
     /// Takes in the changes of a feed; whether a value changed.
     pub fn apply(&mut self, page: Page) -> bool {
@@ -127,6 +157,8 @@
     #[must_use]
     pub fn since(&self, versions: &Versions) -> Update {
         Update {
+            hears: false,
+            returned: None,
             configuration: newest(&self.configuration),
             orders: self.orders.since(versions.orders),
             upstreams: self.upstreams.since(versions.upstreams),
@@ -164,6 +196,11 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Update {
+    /// Whether the peer hears from the store.
+    pub hears: bool,
+    /// Time since the store came back to the peer, if that was a moment ago: entries of upstreams
+    /// that live may be missing.
+    pub returned: Option<Duration>,
     /// Version of the configuration; it is fetched by itself.
     pub configuration: Version,
     /// Of the orders.
--- a/crates/cloverpost-core/src/directory/member.rs
+++ b/crates/cloverpost-core/src/directory/member.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::directory::Size;
 use crate::id;
 
 /// An entry VM that peers may ask.
@@ -14,6 +15,6 @@
     pub zone: id::AvailabilityZone,
     /// Where it takes links of peers.
     pub address: SocketAddr,
-    /// Reading of the store's clock when it last wrote its row, in milliseconds.
-    pub seen_ms: u64,
+    /// What it can bear.
+    pub size: Size,
 }
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::fetch::Fetched;
-use cloverpost_core::directory::{Member, Page, Unreadable, Update, Upstream, View};
+use cloverpost_core::directory::{Member, Page, Unreadable, Update, Upstream, View, watchers};
 use cloverpost_core::{directory, time};
 use tokio::sync::watch;
 
 use crate::gateway::codec::Codec;
 use crate::gateway::control::{State, changes};
 use crate::gateway::rollouts;
+use crate::gateway::shared::Phase;
 use crate::gateway::store::{Error, Store, Topic};
 
 /// Time after the store's return in which upstreams that are missing from it are
@@ -18,22 +19,22 @@
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 /// Unreadable rows that are remembered at most, so that each is told once; 200 bytes each.
 const MOST_UNREADABLE: usize = 1000;
-/// Time without such a message after which a VM follows the store itself: three are
-/// lost, and a change is still in force within two seconds.
-const FRESH: Duration = Duration::from_millis(1200);
 
 impl<C: Codec, S: Store> State<C, S> {
     pub(super) fn learn(&mut self, topic: Topic, page: Page, whole: bool) {
         let now = self.now();
         self.heard = now;
+        self.answered = now;
         self.parts.shared.set_store_now_ms(page.now_ms);
         self.note_unreadable(topic, &page.unreadable);
         if let Some(since) = self.lost.remove(&topic) {
-            let away_ms = u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX);
+            let away_ms = millis(now.since(since));
             log::info!(topic = topic.as_str(), away_ms; "the store answers again");
             self.returned = Some(now);
         }
         let before = self.upstreams_before(now);
+        // At the first start of a site the list is empty, and the store has no version yet.
+        self.knows_members |= topic == Topic::Members;
         let changed = if whole {
             self.image.replace(page)
         } else {
@@ -96,6 +97,12 @@
         }
     }
 
+    /// Time since the store came back, while entries may be missing from it.
+    pub(super) fn returned_ago(&self) -> Option<Duration> {
+        let ago = self.now().since(self.returned?);
+        (ago < RETURN_GRACE).then_some(ago)
+    }
+
     pub(super) fn lose(&mut self, topic: Topic, error: &Error) {
         let now = self.now();
         if self.lost.insert(topic, now).is_none() {
@@ -107,14 +114,22 @@
 
     /// Takes in what a peer has newer.
     pub(super) fn update(&mut self, peer: &Member, took: Duration, update: Update) {
-        let before = self.image.versions();
         let now = self.now();
+        self.knows_members |= update.members.is_some();
+        if update.hears && peer.zone == self.parts.own.zone {
+            self.word = now;
+        }
+        if let Some(ago) = update.returned {
+            let returned = time::Moment::new(now.since_start().saturating_sub(ago));
+            self.returned = self.returned.max(Some(returned));
+        }
+        let before = self.image.versions();
         let upstreams = self.upstreams_before(now);
         if self.image.update(update) {
             self.note_missing(upstreams.as_ref(), now);
             self.parts.shared.metrics.told_by_peers.inc();
             let after = self.image.versions();
-            let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            let took_ms = millis(took);
             log::info!(peer = peer.vm.as_str(), took_ms, before:? = before, after:? = after; "took newer tables from a peer");
             self.publish();
         }
@@ -123,8 +138,7 @@
     /// Takes in a configuration that came from peers.
     pub(super) fn configure(&mut self, fetched: Fetched) {
         let version = fetched.version;
-        let took_ms =
-            u64::try_from(self.now().since(fetched.since).as_millis()).unwrap_or(u64::MAX);
+        let took_ms = millis(self.now().since(fetched.since));
         if self.image.configure(fetched) {
             self.parts.shared.metrics.told_by_peers.inc();
             log::info!(version:% = version, took_ms; "took a newer configuration from peers");
@@ -157,18 +171,67 @@
 
     /// Follows the store, or leaves that to VMs of the same availability zone for as
     /// long as they say that they hear from it.
-    pub(super) fn choose_to_follow(&self) {
-        let own = &self.parts.own;
-        let is_watcher = self.image.members.is_watcher(&own.vm, &own.zone);
-        let now = self.now();
-        let is_told = self.fresh.is_some_and(|fresh| now.since(fresh) < FRESH);
-        let follows = is_watcher || !is_told;
+    pub(super) fn choose_to_follow(&mut self) {
+        let place = self.image.members.place(&self.parts.own);
+        let silence = self.now().since(self.word);
+        let waits = self.waits_for_list(silence);
+        let follows = !waits && silence >= watchers::patience(place, self.quiet());
         let open = follows && rollouts::are_open(&self.image);
         if set(&self.follows, follows) {
-            log::info!(follows, is_watcher; "following the store changes");
+            log::info!(follows, place, silence_ms = millis(silence); "following the store changes");
         }
+        set(
+            &self.follows_members,
+            follows || waits || !self.knows_members,
+        );
         set(&self.follows_progress, open);
+        if !follows {
+            // What is not followed cannot be heard to come back.
+            self.lost.clear();
+        }
+        if !open {
+            self.lost.remove(&Topic::Progress);
+        }
+        let is_serving = *self.parts.shared.phase.borrow() == Phase::Serving;
+        let is_unlisted = is_serving && self.knows_members && !self.is_listed();
+        set(&self.is_unlisted, is_unlisted);
+        self.gate.set_watcher(place < watchers::WATCHERS);
     }
+
+    /// Time without word after which the first VMs take over from watchers.
+    pub(super) fn quiet(&self) -> Duration {
+        if self.is_informed() {
+            watchers::QUIET
+        } else {
+            watchers::START
+        }
+    }
+
+    /// Whether this VM knows what it needs to serve, and to tell others.
+    pub(super) fn is_informed(&self) -> bool {
+        let none = directory::Version::default();
+        let image = &self.image;
+        image.configuration.version > none && image.upstreams.version > none
+    }
+
+    /// Whether this VM has just started and does not know yet who may tell it anything: the list
+    /// of VMs is still to be read, or is being written as all start for the first time.
+    fn waits_for_list(&self, silence: Duration) -> bool {
+        let is_new_site = self.parts.shared.settings.load().is_new_site;
+        let is_settling = is_new_site && !self.is_listed() && silence < watchers::SETTLE;
+        !self.is_informed() && (is_settling || !self.knows_members && silence < watchers::START)
+    }
+
+    /// Whether the list of VMs holds this one as it is.
+    fn is_listed(&self) -> bool {
+        let own = &self.parts.own;
+        let row = self.image.members.rows.get(own.vm.as_str());
+        row.is_some_and(|row| row.value == *own)
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// Sets a switch; whether that changed it.
--- a/crates/cloverpost/src/gateway/control/duties.rs
+++ b/crates/cloverpost/src/gateway/control/duties.rs
@@ -4,6 +4,7 @@
 
 use cloverpost_core::directory::Member;
 use ractor::ActorRef;
+use tokio::sync::watch;
 
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
@@ -22,6 +23,16 @@
 const EVIDENCE: Duration = Duration::from_millis(100);
 /// Time without news from the store after which peers are asked.
 const STALE: Duration = Duration::from_secs(4);
+/// First pause after a write of this VM's row that failed; doubled up to [`LIST_PAUSE_MOST`].
+const LIST_PAUSE: Duration = Duration::from_millis(200);
+/// Time over which VMs that start together write their rows: a part of the store takes 150 a
+/// second, and refuses what would wait for more than a second.
+const LIST_SPREAD: Duration = Duration::from_millis(900);
+/// Longest such pause. Nothing but the share of duties depends on the row.
+const LIST_PAUSE_MOST: Duration = Duration::from_secs(2);
+/// Time after which a row is written again that the list still lacks: peers that follow it tell
+/// of it within some seconds.
+const LIST_AGAIN: Duration = Duration::from_secs(10);
 
 impl<C: Codec, S: Store> State<C, S> {
     pub(super) fn tick(&mut self, myself: &ActorRef<Command>) {
@@ -37,6 +48,7 @@
             self.asked = now;
             self.ask_a_peer(myself);
         }
+        self.ask_while_unheard(myself);
         self.go_on(myself);
         self.share_loads();
         self.choose_to_follow();
@@ -110,12 +122,45 @@
     result
 }
 
-/// Lists this VM, again and again until the store has taken it.
-pub(super) async fn announce<S: Store>(store: S, own: Member) {
-    let mut pause = Duration::from_millis(200);
-    while let Err(error) = store.announce(&own).await {
-        log::debug!(why:% = error; "this VM is not listed yet");
-        tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-        pause = (pause * 2).min(Duration::from_secs(2));
+/// Lists this VM whenever the list lacks it, again and again until the store has taken it.
+///
+/// A row that stands is left alone: written anew by each of 295 VMs as they start together, it
+/// would come to every follower of the list 295 times.
+pub(super) async fn announce<S: Store>(
+    store: S,
+    own: Member,
+    mut is_unlisted: watch::Receiver<bool>,
+) {
+    let mut pause = LIST_PAUSE;
+    let spread = LIST_SPREAD.mul_f64(rand::random());
+    if is_unlisted
+        .wait_for(|is_unlisted| *is_unlisted)
+        .await
+        .is_ok()
+    {
+        tokio::time::sleep(spread).await;
+    }
+    while is_unlisted
+        .wait_for(|is_unlisted| *is_unlisted)
+        .await
+        .is_ok()
+    {
+        let result = store.announce(&own).await;
+        let outcome = match &result {
+            Ok(()) => "written".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        log::info!(outcome = outcome.as_str(); "lists itself");
+        let is_changed = is_unlisted.changed();
+        if result.is_ok() {
+            // The list shows it a moment later; until then it would be written again.
+            if tokio::time::timeout(LIST_AGAIN, is_changed).await.is_err() {
+                continue;
+            }
+            pause = LIST_PAUSE;
+        } else {
+            tokio::time::sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+            pause = (pause * 2).min(LIST_PAUSE_MOST);
+        }
     }
 }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -17,14 +17,16 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::{Editions, Fetch, Image, Member, Upstream, Version};
-use cloverpost_core::time;
+use cloverpost_core::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
 
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
+use crate::gateway::follow::Follower;
+use crate::gateway::gate::Gate;
 use crate::gateway::store::{Store, Topic};
-use crate::gateway::{Shared, follow, loads};
+use crate::gateway::{Shared, loads};
 use crate::peer;
 
 /// Time between looks at what is due.
@@ -63,6 +65,9 @@
     lost: HashMap<Topic, time::Moment>,
     /// When the store last came back.
     returned: Option<time::Moment>,
+    /// When the store last answered.
+    answered: time::Moment,
+    /// When the store last answered, or a peer that hears from it last sent word.
     heard: time::Moment,
     swept: time::Moment,
     shared_evidence: time::Moment,
@@ -74,10 +79,18 @@
     fetch: Fetch,
     writes: writes::Writes,
     loads: loads::Loads,
-    /// When a peer last said that it hears from the store.
-    fresh: Option<time::Moment>,
+    /// When a VM of the zone last said that it hears from the store.
+    word: time::Moment,
     told: time::Moment,
+    /// VMs of the zone that asked and are not on the list yet.
+    guests: HashMap<id::Vm, (Member, time::Moment)>,
+    gate: Gate,
+    /// Whether the list of VMs has been read, by this VM or a peer.
+    knows_members: bool,
+    /// Whether the list of VMs says that this one is to be written to it.
+    is_unlisted: watch::Sender<bool>,
     follows: watch::Sender<bool>,
+    follows_members: watch::Sender<bool>,
     follows_progress: watch::Sender<bool>,
 }
 
@@ -99,6 +112,7 @@
             unreadable: HashMap::new(),
             lost: HashMap::new(),
             returned: None,
+            answered: time::Moment::default(),
             heard: time::Moment::default(),
             swept: time::Moment::default(),
             shared_evidence: time::Moment::default(),
@@ -108,9 +122,14 @@
             fetch: Fetch::default(),
             writes: writes::Writes::default(),
             loads: loads::Loads::default(),
-            fresh: None,
+            word: time::Moment::default(),
             told: time::Moment::default(),
-            follows: watch::Sender::new(true),
+            guests: HashMap::new(),
+            gate: Gate::default(),
+            knows_members: false,
+            is_unlisted: watch::Sender::new(false),
+            follows: watch::Sender::new(false),
+            follows_members: watch::Sender::new(true),
             follows_progress: watch::Sender::new(false),
         };
         for topic in [
@@ -120,16 +139,23 @@
             Topic::Progress,
         ] {
             let wanted = match topic {
+                Topic::Members => state.follows_members.subscribe(),
                 Topic::Progress => state.follows_progress.subscribe(),
-                _ => state.follows.subscribe(),
+                Topic::Operators | Topic::Upstreams => state.follows.subscribe(),
             };
-            let metrics = state.parts.shared.metrics.clone();
-            let store = state.parts.store.clone();
-            tokio::spawn(follow::run(store, topic, myself.clone(), metrics, wanted));
+            let follower = Follower {
+                store: state.parts.store.clone(),
+                topic,
+                keeper: myself.clone(),
+                metrics: state.parts.shared.metrics.clone(),
+                gate: state.gate.clone(),
+            };
+            tokio::spawn(follower.run(wanted));
         }
         tokio::spawn(duties::announce(
             state.parts.store.clone(),
             state.parts.own.clone(),
+            state.is_unlisted.subscribe(),
         ));
         myself.send_interval(TICK, || Command::Tick);
         Ok(state)
@@ -144,6 +170,7 @@
         match command {
             Command::Learned { topic, page, whole } => {
                 state.learn(topic, *page, whole);
+                state.ask_while_unheard(&myself);
                 state.drive_rollouts(&myself);
             }
             Command::Lost { topic, error } => state.lose(topic, &error),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::Member;
+use cloverpost_core::directory::{Member, Size, Update};
 use cloverpost_core::{directory, exposure, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -20,45 +20,64 @@
 const TOLD: usize = 3;
 /// Least time between them while tables change; each may bring a question of every listener.
 const TELL_LEAST: Duration = Duration::from_millis(120);
-/// Time since the store's last answer within which a watcher counts as hearing from
-/// it. Upstreams write about once a second, and each write is an answer.
-const HEARS: Duration = Duration::from_millis(1800);
+/// Time since the store's last answer within which a VM counts as hearing from it: it holds
+/// calls back for 2.5 s while nothing changes.
+const HEARS: Duration = Duration::from_millis(2700);
+/// Time for which a VM that asked is told although it is not on the list; the list comes within
+/// some seconds.
+const GUEST: Duration = Duration::from_secs(10);
+/// VMs that are told so at most, 200 bytes each.
+const MOST_GUESTS: usize = 200;
 
 impl<C: Codec, S: Store> State<C, S> {
     pub(super) fn share_loads(&mut self) {
         let shared = self.parts.shared.clone();
         let members = &self.image.members;
         for (member, message) in self.loads.letters(&shared, members, &self.parts.own) {
-            let target = peer::Target {
-                vm: member.vm,
-                address: member.address,
-            };
-            self.send(&target, &Message::Balance(message));
+            self.send(&target(&member), &Message::Balance(message));
         }
     }
 
-    /// Tells the VMs of the same availability zone that this one hears from the
-    /// store.
+    /// Whether what this VM knows comes from the store now.
+    pub(super) fn hears(&self) -> bool {
+        let is_answered = self.now().since(self.answered) < HEARS;
+        self.is_informed() && *self.follows.borrow() && self.lost.is_empty() && is_answered
+    }
+
+    /// Tells the VMs of the same availability zone, and the watchers of the next one, that this
+    /// one hears from the store.
     pub(super) fn tell_listeners(&mut self) {
-        let own = &self.parts.own;
         let now = self.now();
-        let hears = self.lost.is_empty() && now.since(self.heard) < HEARS;
-        let is_watcher = self.image.members.is_watcher(&own.vm, &own.zone);
-        if !hears || !is_watcher || now.since(self.told) < TELL_LEAST {
+        if !self.hears() || now.since(self.told) < TELL_LEAST {
             return;
         }
         self.told = now;
+        let own = &self.parts.own;
+        let members = &self.image.members;
+        self.guests.retain(|vm, (_, asked)| {
+            !members.rows.contains_key(vm.as_str()) && now.since(*asked) < GUEST
+        });
+        let zone = members.rows.values().map(|row| &row.value);
+        let zone = zone.filter(|one| one.zone == own.zone && one.vm != own.vm);
+        let guests = self.guests.values().map(|(guest, _)| guest);
+        let others = members.next_watchers(&own.zone);
         let fresh = Message::Directory(directory::Message::Fresh(self.image.changes()));
-        let members = self.image.members.rows.values().map(|row| &row.value);
-        for member in members.filter(|one| one.zone == own.zone && one.vm != own.vm) {
-            if self.image.members.is_watcher(&member.vm, &member.zone) {
-                continue;
-            }
-            let target = peer::Target {
-                vm: member.vm.clone(),
-                address: member.address,
-            };
-            self.send(&target, &fresh);
+        for member in zone.chain(guests).chain(others) {
+            self.send(&target(member), &fresh);
+        }
+    }
+
+    /// Takes in that `from` hears from the store. Word of a VM that ranks behind this one does
+    /// not count: each would leave the store to the other.
+    fn hear_word(&mut self, from: &Member) {
+        let now = self.now();
+        self.heard = now;
+        let members = &self.image.members;
+        let listed = members.rows.get(from.vm.as_str()).map(|row| &row.value);
+        let is_before =
+            listed.is_none_or(|listed| members.place(listed) < members.place(&self.parts.own));
+        if from.zone == self.parts.own.zone && is_before {
+            self.word = now;
         }
     }
 
@@ -136,7 +155,7 @@
             vm: incoming.from.vm,
             zone: incoming.from.zone,
             address: incoming.from.address,
-            seen_ms: 0,
+            size: Size::default(),
         };
         match message {
             directory::Message::Have(changes) => {
@@ -144,14 +163,17 @@
                 self.hear_of(myself, from, changes, lacks);
             }
             directory::Message::Fresh(changes) => {
-                let now = self.now();
-                self.fresh = Some(now);
-                self.heard = now;
+                self.hear_word(&from);
                 let lacks = self.image.versions().is_older_than(&changes);
                 self.hear_of(myself, from, changes, lacks);
             }
             directory::Message::Ask(versions) => {
-                let update = Box::new(self.image.since(&versions));
+                let update = Box::new(Update {
+                    hears: self.hears(),
+                    returned: self.returned_ago(),
+                    ..self.image.since(&versions)
+                });
+                self.welcome(from);
                 self.answer(incoming.reply, directory::Message::Tell(update));
             }
             directory::Message::Fetch { version, offset } => {
@@ -166,6 +188,15 @@
         }
     }
 
+    /// Remembers a VM of the zone that is not on the list yet, so that it is told as well.
+    fn welcome(&mut self, from: Member) {
+        let is_listed = self.image.members.rows.contains_key(from.vm.as_str());
+        if from.zone == self.parts.own.zone && !is_listed && self.guests.len() < MOST_GUESTS {
+            let now = self.now();
+            self.guests.insert(from.vm.clone(), (from, now));
+        }
+    }
+
     fn answer(&self, reply: peer::Reply, message: directory::Message) {
         self.parts.shared.metrics.answers.inc();
         reply.send(Message::Directory(message));
@@ -175,10 +206,7 @@
         let members = self.image.members.rows.values();
         members
             .filter(|row| row.value.vm != self.parts.own.vm)
-            .map(|row| peer::Target {
-                vm: row.value.vm.clone(),
-                address: row.value.address,
-            })
+            .map(|row| target(&row.value))
             .collect()
     }
 
@@ -191,3 +219,11 @@
         }
     }
 }
+
+/// Where `member` takes links.
+pub(super) fn target(member: &Member) -> peer::Target {
+    peer::Target {
+        vm: member.vm.clone(),
+        address: member.address,
+    }
+}
--- a/crates/cloverpost/src/gateway/control/questions.rs
+++ b/crates/cloverpost/src/gateway/control/questions.rs
@@ -8,17 +8,24 @@
 
 use std::time::{Duration, Instant};
 
-use cloverpost_core::directory::{Asked, Member, Piece, Update, Versions};
+use cloverpost_core::directory::{Asked, Member, Piece, Update, Versions, watchers};
 use cloverpost_core::{directory, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
+use rand::seq::IteratorRandom;
 
 use crate::gateway::codec::Codec;
 use crate::gateway::command::{Answer, Command};
 use crate::gateway::control::State;
+use crate::gateway::control::peers::target;
 use crate::gateway::store::Store;
 use crate::peer;
 
+/// Time without word after which a VM that listens asks for it: two messages are overdue.
+const OVERDUE: Duration = Duration::from_millis(700);
+/// Time between questions of a VM that cannot serve yet.
+const SEEK: Duration = Duration::from_millis(100);
+
 /// What is asked and what has been heard of meanwhile.
 #[derive(Debug, Default)]
 pub struct Questions {
@@ -66,6 +73,42 @@
         self.fetch_on(myself);
     }
 
+    /// Asks a VM that should hear from the store, while none sends word: at once and again as
+    /// long as this VM cannot serve, later once two messages are overdue. Such a VM also learns
+    /// of this one that way, if the list that it has does not hold it yet.
+    pub(super) fn ask_while_unheard(&mut self, myself: &ActorRef<Command>) {
+        let now = self.now();
+        let is_due = if self.is_informed() {
+            let is_listening = !*self.follows.borrow();
+            is_listening && now.since(self.word) > OVERDUE && now.since(self.asked) > OVERDUE
+        } else {
+            now.since(self.asked) > SEEK
+        };
+        if !is_due || !self.questions.asked.may_ask(now) {
+            return;
+        }
+        if let Some(peer) = self.any_watcher() {
+            self.asked = now;
+            self.ask(myself, &peer);
+        }
+    }
+
+    /// A watcher of this zone; without one, of the next zone.
+    fn any_watcher(&self) -> Option<Member> {
+        let own = &self.parts.own;
+        let members = &self.image.members;
+        let ranked = members.ranked(&own.zone).into_iter();
+        let near = ranked.take(watchers::WATCHERS);
+        let near = near.filter(|one| one.vm != own.vm).choose(&mut rand::rng());
+        let far = || {
+            members
+                .next_watchers(&own.zone)
+                .into_iter()
+                .choose(&mut rand::rng())
+        };
+        near.or_else(far).cloned()
+    }
+
     /// Asks any peer.
     pub(super) fn ask_a_peer(&mut self, myself: &ActorRef<Command>) {
         let members = self.image.members.rows.values().map(|row| &row.value);
@@ -100,10 +143,7 @@
 
     /// Sends a question; its end comes back as a command.
     fn put(&self, myself: &ActorRef<Command>, peer: &Member, question: directory::Message) {
-        let target = peer::Target {
-            vm: peer.vm.clone(),
-            address: peer.address,
-        };
+        let target = target(peer);
         let peer = peer.clone();
         let links = self.parts.links.clone();
         let keeper = myself.clone();
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -2,20 +2,16 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::Page;
+use cloverpost_core::directory::{Page, Version};
 use ractor::ActorRef;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
 use crate::gateway::command::Command;
+use crate::gateway::gate::Gate;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::store::{Error, Store, Topic};
 
-/// First pause after a call that failed; doubled up to [`PAUSE_MOST`]. A VM that
-/// starts while the store is away must serve within a second of its return.
-const PAUSE: Duration = Duration::from_millis(100);
-/// Longest pause after a call that failed.
-const PAUSE_MOST: Duration = Duration::from_millis(600);
 /// Time after which a table is read whole although its feed runs. A feed that
 /// silently skips a change would otherwise hide it for ever.
 const WHOLE_EVERY: Duration = Duration::from_secs(20);
@@ -37,7 +33,7 @@
         Topic::Operators => (2500, 150),
         Topic::Upstreams => (2500, 800),
         Topic::Progress => (2500, 300),
-        Topic::Members => (20_000, 2000),
+        Topic::Members => (20_000, 1000),
     };
     Pace {
         wait: Duration::from_millis(wait),
@@ -45,79 +41,140 @@
     }
 }
 
-/// Follows `topic` for as long as it is polled, while `wanted` says so.
-pub async fn run<S: Store>(
-    store: S,
-    topic: Topic,
-    keeper: ActorRef<Command>,
-    metrics: Metrics,
-    mut wanted: watch::Receiver<bool>,
-) {
-    let mut after = None;
-    let mut read = Instant::now();
-    let mut pause = PAUSE;
-    loop {
-        if !*wanted.borrow() {
-            // What it knew is old when it is wanted again.
-            after = None;
-        }
-        if wanted.wait_for(|wanted| *wanted).await.is_err() {
-            return;
-        }
-        if read.elapsed() > WHOLE_EVERY {
-            after = None;
+/// How one topic is followed, and what is known of it.
+pub struct Follower<S> {
+    /// The store.
+    pub store: S,
+    /// What is followed.
+    pub topic: Topic,
+    /// Who is told.
+    pub keeper: ActorRef<Command>,
+    /// Counters of calls.
+    pub metrics: Metrics,
+    /// Which calls may be made.
+    pub gate: Gate,
+}
+
+/// How far a topic is followed.
+#[derive(Debug)]
+enum Place {
+    /// To be read whole; the parts that have come.
+    Reading(Option<(Page, String)>),
+    /// Known up to a version, read whole last at a time.
+    Following(Version, Instant),
+}
+
+impl<S: Store> Follower<S> {
+    /// Follows the topic for as long as it is polled, while `wanted` says so.
+    pub async fn run(self, mut wanted: watch::Receiver<bool>) {
+        let mut place = Place::Reading(None);
+        loop {
+            if !*wanted.borrow() {
+                // What it knew is old when it is wanted again.
+                place = Place::Reading(None);
+            }
+            if wanted.wait_for(|wanted| *wanted).await.is_err() {
+                return;
+            }
+            place = match place {
+                Place::Following(version, read) if read.elapsed() < WHOLE_EVERY => {
+                    self.follow(version, read).await
+                }
+                Place::Following(..) => self.read(None).await,
+                Place::Reading(parts) => self.read(parts).await,
+            };
         }
+    }
+
+    /// Waits for changes after `version`.
+    async fn follow(&self, version: Version, read: Instant) -> Place {
+        let leave = self.gate.enter().await;
         let started = Instant::now();
-        let (result, whole) = match after {
-            None => (store.read(topic).await, true),
-            Some(version) => (store.follow(topic, version, pace(topic).wait).await, false),
-        };
-        count(&metrics, topic, &result, started);
+        let wait = leave.wait(pace(self.topic).wait);
+        let result = self.store.follow(self.topic, version, wait).await;
+        self.count(result.as_ref().err(), started);
+        leave.close(matches!(result, Ok(_) | Err(Error::Forgotten)));
         match result {
             Ok(page) => {
-                after = Some(page.version);
-                if whole {
-                    read = Instant::now();
-                }
-                pause = PAUSE;
-                let page = Box::new(page);
-                tell(&keeper, Command::Learned { topic, page, whole });
-                sleep(pace(topic).pause).await;
+                let place = Place::Following(page.version, read);
+                self.learned(page, false).await;
+                place
             }
             Err(Error::Forgotten) => {
-                log::info!(topic = topic.as_str(); "the feed has dropped its history, reading the table whole");
-                after = None;
+                log::info!(topic = self.topic.as_str(); "the feed has dropped its history, reading the table whole");
+                Place::Reading(None)
             }
             Err(error) => {
-                tell(&keeper, Command::Lost { topic, error });
-                sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
-                pause = (pause * 2).min(PAUSE_MOST);
+                self.lost(error);
+                Place::Following(version, read)
             }
         }
     }
-}
 
-fn count(metrics: &Metrics, topic: Topic, result: &Result<Page, Error>, started: Instant) {
-    let name = match result {
-        Ok(_) => "answered",
-        Err(Error::Forgotten) => "forgotten",
-        Err(Error::Conflict) => "conflict",
-        Err(Error::Refused(_)) => "refused",
-        Err(Error::Lost(_)) => "lost",
-        Err(Error::Garbled(_)) => "garbled",
-    };
-    metrics
-        .store_calls
-        .with_label_values(&[topic.as_str(), name])
-        .inc();
-    if result.is_ok() {
-        metrics
-            .store_seconds
-            .observe(started.elapsed().as_secs_f64());
+    /// Reads the part that comes after `parts`, and goes on after it.
+    ///
+    /// A part that fails is asked for again, and those before it stay. Begun anew, a large table
+    /// would never come whole from a store that refuses one call in twenty.
+    async fn read(&self, parts: Option<(Page, String)>) -> Place {
+        let leave = self.gate.enter().await;
+        let started = Instant::now();
+        let after = parts.as_ref().map(|(_, after)| after.as_str());
+        let result = self.store.read(self.topic, after).await;
+        self.count(result.as_ref().err(), started);
+        leave.close(result.is_ok());
+        let part = match result {
+            Ok(part) => part,
+            Err(error) => {
+                self.lost(error);
+                return Place::Reading(parts);
+            }
+        };
+        let page = match parts {
+            None => part.page,
+            Some((mut page, _)) => {
+                page.join(part.page);
+                page
+            }
+        };
+        if let Some(after) = part.more_after {
+            return Place::Reading(Some((page, after)));
+        }
+        let place = Place::Following(page.version, Instant::now());
+        self.learned(page, true).await;
+        place
+    }
+
+    async fn learned(&self, page: Page, whole: bool) {
+        let topic = self.topic;
+        let page = Box::new(page);
+        self.tell(Command::Learned { topic, page, whole });
+        sleep(pace(topic).pause).await;
+    }
+
+    fn lost(&self, error: Error) {
+        let topic = self.topic;
+        self.tell(Command::Lost { topic, error });
+    }
+
+    fn tell(&self, command: Command) {
+        // The keeper is gone only while the process ends.
+        let _ = self.keeper.cast(command);
     }
-}
 
-fn tell(keeper: &ActorRef<Command>, command: Command) {
-    // The keeper is gone only while the process ends.
-    let _ = keeper.cast(command);
+    fn count(&self, error: Option<&Error>, started: Instant) {
+        let name = match error {
+            None => "answered",
+            Some(Error::Forgotten) => "forgotten",
+            Some(Error::Conflict) => "conflict",
+            Some(Error::Refused(_)) => "refused",
+            Some(Error::Lost(_)) => "lost",
+            Some(Error::Garbled(_)) => "garbled",
+        };
+        let calls = &self.metrics.store_calls;
+        calls.with_label_values(&[self.topic.as_str(), name]).inc();
+        if error.is_none() {
+            let took = started.elapsed();
+            self.metrics.store_seconds.observe(took.as_secs_f64());
+        }
+    }
 }
--- /dev/null
+++ b/crates/cloverpost/src/gateway/gate.rs
@@ -0,0 +1,100 @@
+//! Lets calls to the store through: all while it answers, one at a time while it does not.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use tokio::sync::{Mutex, MutexGuard};
+use tokio::time::sleep;
+
+/// First pause after a call that failed; doubled up to [`PAUSE_MOST`]. A VM that
+/// starts while the store is away must serve within a second of its return.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause of a VM that tells others what it hears.
+const PAUSE_MOST: Duration = Duration::from_millis(600);
+/// Longest pause of any other VM. It asks peers four times a second meanwhile, and hears of the
+/// store's return from them.
+const PAUSE_OTHERS: Duration = Duration::from_millis(1800);
+
+/// Lets calls to the store through; clones are one gate.
+///
+/// Each call is paid for, refused ones too. A VM follows several tables; if each were tried by
+/// itself while the store is away, 295 VMs would make some 2,000 calls a second in vain.
+#[derive(Clone, Debug, Default)]
+pub struct Gate(Arc<Inner>);
+
+#[derive(Debug, Default)]
+struct Inner {
+    is_failing: AtomicBool,
+    /// Whether other VMs depend on what this one hears.
+    is_watcher: AtomicBool,
+    /// The pause before the next call while the store fails.
+    pause: Mutex<Option<Duration>>,
+}
+
+/// Leave to make one call.
+#[derive(Debug)]
+pub struct Leave<'a> {
+    gate: &'a Gate,
+    turn: Option<MutexGuard<'a, Option<Duration>>>,
+}
+
+impl Gate {
+    /// Notes whether other VMs depend on what this one hears.
+    pub fn set_watcher(&self, is_watcher: bool) {
+        self.0.is_watcher.store(is_watcher, Ordering::Relaxed);
+    }
+
+    /// Waits until a call may be made.
+    pub async fn enter(&self) -> Leave<'_> {
+        if !self.0.is_failing.load(Ordering::Relaxed) {
+            return Leave {
+                gate: self,
+                turn: None,
+            };
+        }
+        let turn = self.0.pause.lock().await;
+        // The one before may have found the store back.
+        if self.0.is_failing.load(Ordering::Relaxed) {
+            let pause = turn.unwrap_or(PAUSE).min(self.most());
+            sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
+        }
+        Leave {
+            gate: self,
+            turn: Some(turn),
+        }
+    }
+
+    fn most(&self) -> Duration {
+        if self.0.is_watcher.load(Ordering::Relaxed) {
+            PAUSE_MOST
+        } else {
+            PAUSE_OTHERS
+        }
+    }
+}
+
+impl Leave<'_> {
+    /// Time that the store may hold the call back, of `usual`. A call that finds out whether the
+    /// store answers must not: all others wait for its end.
+    #[must_use]
+    pub fn wait(&self, usual: Duration) -> Duration {
+        if self.turn.is_some() {
+            Duration::ZERO
+        } else {
+            usual
+        }
+    }
+
+    /// Notes how the call ended.
+    pub fn close(self, is_answered: bool) {
+        self.gate
+            .0
+            .is_failing
+            .store(!is_answered, Ordering::Relaxed);
+        if let Some(mut pause) = self.turn {
+            let longer = || pause.unwrap_or(PAUSE).saturating_mul(2).min(PAUSE_OTHERS);
+            *pause = (!is_answered).then(longer);
+        }
+    }
+}
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 pub mod events;
 mod evidence;
 mod follow;
+pub mod gate;
 mod in_flight;
 mod job;
 mod loads;
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -8,7 +8,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cloverpost_core::{balance, escalation, id};
+use cloverpost_core::{balance, directory, escalation, id};
 
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -49,6 +49,10 @@
     pub escalation: escalation::Options,
     /// Descriptors that the process may open.
     pub max_descriptors: u32,
+    /// What this VM can bear.
+    pub size: directory::Size,
+    /// Whether the whole site starts for the first time.
+    pub is_new_site: bool,
 }
 
 /// A fault of a settings file.
@@ -107,8 +111,11 @@
 /// Accepted form of a count.
 const COUNT: &str = "a whole number";
 
+/// Accepted form of a switch.
+const SWITCH: &str = "true or false";
+
 /// Every name that a settings file may hold.
-const NAMES: [&str; 31] = [
+const NAMES: [&str; 34] = [
     "vm",
     "zone",
     "caller-addr",
@@ -140,6 +147,9 @@
     "escalation-delay-weight",
     "escalation-second-weight",
     "max-descriptors",
+    "core-share",
+    "link-mbit",
+    "new-site",
 ];
 
 impl FromStr for Settings {
@@ -190,6 +200,8 @@
         let choice = self.choice();
         let escalation = self.escalation();
         let max_descriptors = self.count("max-descriptors", 1024);
+        let size = self.size();
+        let is_new_site = self.switch("new-site", false);
         Some(Settings {
             vm: vm?,
             zone: zone?,
@@ -209,6 +221,18 @@
             choice: choice?,
             escalation: escalation?,
             max_descriptors: max_descriptors?,
+            size: size?,
+            is_new_site: is_new_site?,
+        })
+    }
+
+    fn size(&mut self) -> Option<directory::Size> {
+        let cores = self.number("core-share", 0.0, 1000.0, "cores, 0 to 1000");
+        let link = self.number("link-mbit", 0.0, 1e6, "Mbit/s, 0 to 1000000");
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // bounded above
+        Some(directory::Size {
+            core_percent: (cores? * 100.0).round() as u32,
+            link_mbit: link?.round() as u32,
         })
     }
 
@@ -320,6 +344,13 @@
         self.or_wrong(count, name, value, COUNT)
     }
 
+    fn switch(&mut self, name: &'static str, default: bool) -> Option<bool> {
+        let Some(value) = self.table.get(name) else {
+            return Some(default);
+        };
+        self.or_wrong(value.as_bool(), name, value, SWITCH)
+    }
+
     fn or_wrong<T>(
         &mut self,
         parsed: Option<T>,
--- a/crates/cloverpost/src/gateway/store.rs
+++ b/crates/cloverpost/src/gateway/store.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Part of a table that is read whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// Its rows.
+    pub page: Page,
+    /// Key after which the next part begins; `None` after the last one.
+    pub more_after: Option<String>,
+}
+
 /// Why a call to the store brought nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Error {
@@ -64,8 +73,12 @@
 
 /// The store, as typed rows.
 pub trait Store: Clone + Send + Sync + 'static {
-    /// Reads a topic whole.
-    fn read(&self, topic: Topic) -> impl Future<Output = Result<Page, Error>> + Send;
+    /// Reads the part of a topic that comes after the key `after`, or its first part.
+    fn read(
+        &self,
+        topic: Topic,
+        after: Option<&str>,
+    ) -> impl Future<Output = Result<Part, Error>> + Send;
 
     /// Waits up to `wait` for changes after `after`.
     fn follow(
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -176,7 +176,7 @@
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
             address: links.identity().address,
-            seen_ms: 0,
+            size: settings.size,
         };
         let parts = Parts {
             shared,
--- a/crates/cloverpost/tests/behaviour/gateway/mod.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/mod.rs
@@ -1,4 +1,5 @@
 //! The gateway's parts that need no sockets.
 
 mod events;
+mod gate;
 mod settings;
--- a/crates/cloverpost/tests/behaviour/gateway/settings.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/settings.rs
@@ -29,6 +29,14 @@
     assert_eq!(settings.session_gap, Duration::from_millis(8_500));
 }
 
+#[test]
+fn what_a_vm_can_bear_is_told_to_peers_in_whole_numbers() {
+    let text = format!("{WHOLE}core-share = 0.12\nlink-mbit = 20.0\n");
+    let settings: Settings = text.parse().unwrap();
+    let size = (settings.size.core_percent, settings.size.link_mbit);
+    assert_eq!(size, (12, 20));
+}
+
 #[test]
 fn all_faults_are_told_at_once() {
     let text = r#"
@@ -37,6 +45,8 @@
         stop-grace-s = -1
         exposure-share = 2
         retry-slack = "many"
+        core-share = "half"
+        new-site = 1
         a-name-to-come = 1
     "#;
     let told = text.parse::<Settings>().unwrap_err().to_string();
@@ -51,6 +61,8 @@
         "stop-grace-s: `-1`",
         "exposure-share: `2`",
         "retry-slack: `many`",
+        "core-share: `half`",
+        "new-site: `1`",
     ];
     for name in named {
         assert!(told.contains(name), "{name} in {told}");
