feat(cloverpost): thousands of upstreams come from peers in pieces

Cause: a VM that starts was sent the whole table of upstreams in one message. 3,000 upstreams are 300 kB; to 48 VMs of a zone from two watchers that is more than links carry within the second that a message may take, what came was thrown away, and all asked again. Change: a table that one message cannot hold is fetched like the configuration, in pieces of 16 kB that stay, from any peer that has it; who has it all offers it to four others.

--- a/crates/cloverpost-core/src/directory/encoded.rs
+++ b/crates/cloverpost-core/src/directory/encoded.rs
@@ -1,6 +1,6 @@
-//! The configuration as peers fetch it: encoded once, handed out in pieces.
+//! Tables as peers fetch them: encoded once, handed out in pieces.
 //!
-//! A configuration may be hundreds of kilobytes. In one message it takes a narrow link longer
+//! A configuration may be hundreds of kilobytes, and so may 3,000 upstreams. In one message it takes a narrow link longer
 //! than a message may take while the other VMs of a zone fetch it as well; what has come by
 //! then is lost, and asked for again. A piece is small, so that it comes in time and what has
 //! come stays.
@@ -10,36 +10,33 @@
 
 use bytes::Bytes;
 
-use crate::directory::{Change, Configuration, Piece, Table, Version};
+use crate::directory::{Change, Piece, Table, Version};
 
 /// Bytes of a piece. Sixteen VMs that fetch at the same time have 256 kB under way, which a
 /// link of 10 Mbit/s carries in a fifth of the time that a message may take.
 pub const PIECE: usize = 16 * 1024;
-/// Largest configuration that is fetched, in bytes; the store's own answers are no larger.
+/// Largest table that is fetched, in bytes; the store's own answers are no larger.
 pub const LARGEST: usize = 4 * 1024 * 1024;
-/// Encoded configurations that are kept: the newest, and those that peers may still be
-/// fetching while changes come faster than a narrow link carries one.
+/// Encodings that are kept: the newest, and those that peers may still be fetching while
+/// changes come faster than a narrow link carries one.
 const KEPT: usize = 4;
 
-/// A configuration, encoded.
+/// A table, encoded.
 #[derive(Clone, Debug)]
 struct Encoded {
     version: Version,
+    whole_as_of: Version,
     digest: u64,
     bytes: Bytes,
 }
 
 impl Encoded {
-    fn new(table: &Table<Configuration>) -> Option<Self> {
-        let rows = table.rows.iter().map(|(key, row)| Change {
-            key: key.clone(),
-            version: row.version,
-            value: Some(row.value.clone()),
-        });
-        let rows: Vec<_> = rows.collect();
+    fn new<T: Clone + serde::Serialize>(table: &Table<T>) -> Option<Self> {
+        let rows: Vec<_> = table.rows.iter().map(Change::from_row).collect();
         let bytes = bincode::serde::encode_to_vec(&rows, bincode::config::standard()).ok()?;
         Some(Self {
             version: newest(table),
+            whole_as_of: table.version,
             digest: digest(&bytes),
             bytes: bytes.into(),
         })
@@ -50,6 +47,7 @@
         let end = (start + PIECE).min(self.bytes.len());
         Piece {
             version: self.version,
+            whole_as_of: self.whole_as_of,
             digest: self.digest,
             len: self.bytes.len(),
             offset: start,
@@ -58,19 +56,21 @@
     }
 }
 
-/// Encoded configurations of one VM.
+/// Encodings of one table of a VM.
 #[derive(Debug, Default)]
 pub struct Editions {
     /// Oldest first.
     kept: VecDeque<Encoded>,
+    /// Newest change of the table when it was encoded last.
+    changed: Version,
 }
 
 impl Editions {
     /// The piece of version `wanted` at `offset`; if that version is not kept, the first piece
     /// of what `table` holds, as long as it is newer.
-    pub fn piece(
+    pub fn piece<T: Clone + serde::Serialize>(
         &mut self,
-        table: &Table<Configuration>,
+        table: &Table<T>,
         wanted: Version,
         offset: usize,
     ) -> Option<Piece> {
@@ -82,11 +82,13 @@
         (newest.version > wanted).then(|| newest.piece(0))
     }
 
-    fn keep(&mut self, table: &Table<Configuration>) {
-        let version = newest(table);
-        if table.rows.is_empty() || self.kept.back().is_some_and(|one| one.version == version) {
+    fn keep<T: Clone + serde::Serialize>(&mut self, table: &Table<T>) {
+        if table.rows.is_empty() || self.changed == table.changed {
             return;
         }
+        self.changed = table.changed;
+        // After a removal the rows differ while the newest of them is the same.
+        self.kept.retain(|one| one.version != newest(table));
         self.kept.extend(Encoded::new(table));
         if self.kept.len() > KEPT {
             self.kept.pop_front();
@@ -94,16 +96,19 @@
     }
 }
 
-/// Version of the newest row: it is the same on all VMs that hold the same configuration.
+/// Version of the newest row: it is the same on all VMs that hold the same rows.
 #[must_use]
-pub fn newest(table: &Table<Configuration>) -> Version {
+pub fn newest<T>(table: &Table<T>) -> Version {
     let versions = table.rows.values().map(|row| row.version);
     versions.max().unwrap_or_default()
 }
 
 /// The rows that `bytes` encode, if they are what `expected` was made from.
 #[must_use]
-pub fn decode(bytes: &[u8], expected: u64) -> Option<Vec<Change<Configuration>>> {
+pub fn decode<T: serde::de::DeserializeOwned>(
+    bytes: &[u8],
+    expected: u64,
+) -> Option<Vec<Change<T>>> {
     if digest(bytes) != expected {
         return None;
     }
--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -149,19 +149,31 @@
     }
 
     /// Takes a configuration that was fetched from peers; whether it differs.
-    pub fn configure(&mut self, fetched: Fetched) -> bool {
+    pub fn configure(&mut self, fetched: Fetched<Configuration>) -> bool {
         self.configuration.replace(fetched.rows, fetched.version)
     }
 
+    /// Takes upstreams that were fetched from peers; whether they differ.
+    pub fn restock(&mut self, fetched: Fetched<Upstream>) -> bool {
+        self.upstreams.replace(fetched.rows, fetched.whole_as_of)
+    }
+
     /// What a copy that is whole as of `versions` lacks, but for the configuration.
     #[must_use]
     pub fn since(&self, versions: &Versions) -> Update {
+        let is_far_ahead = self.upstreams.is_far_ahead(versions.upstreams);
+        let upstreams = if is_far_ahead {
+            None
+        } else {
+            self.upstreams.since(versions.upstreams)
+        };
         Update {
             hears: false,
             returned: None,
             configuration: newest(&self.configuration),
             orders: self.orders.since(versions.orders),
-            upstreams: self.upstreams.since(versions.upstreams),
+            upstreams,
+            upstreams_to_fetch: is_far_ahead.then(|| newest(&self.upstreams)),
             progress: self.progress.since(versions.progress),
             members: self.members.since(versions.members),
         }
@@ -207,6 +219,9 @@
     pub orders: Option<Patch<Order>>,
     /// Of the upstreams.
     pub upstreams: Option<Patch<Upstream>>,
+    /// Version of the newest upstream, if more is lacking than a message may hold; the table is
+    /// fetched by itself.
+    pub upstreams_to_fetch: Option<Version>,
     /// Of the states of roll-outs.
     pub progress: Option<Patch<Progress>>,
     /// Of the entry VMs.
--- a/crates/cloverpost-core/src/directory/message.rs
+++ b/crates/cloverpost-core/src/directory/message.rs
@@ -14,13 +14,27 @@
     Ask(Versions),
     /// The changes that were asked for.
     Tell(Box<Update>),
-    /// Asks for part of a configuration.
+    /// The sender has taken over the whole table; others may fetch it there.
+    Holds(Whole, Version),
+    /// Asks for part of a table.
     Fetch {
-        /// Version of its row.
+        /// Which one.
+        table: Whole,
+        /// Version of its newest row.
         version: Version,
         /// Where the part begins, in bytes of its encoding.
         offset: usize,
     },
-    /// The part that was asked for, or the start of a newer configuration.
+    /// The part that was asked for, or the start of a newer version.
     Piece(Piece),
 }
+
+/// A table that is fetched whole, in pieces.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(serde::Serialize, serde::Deserialize)]
+pub enum Whole {
+    /// The configuration.
+    Configuration,
+    /// The upstreams.
+    Upstreams,
+}
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -38,7 +38,7 @@
 pub use kind::Kind;
 pub use limits::Limits;
 pub use member::Member;
-pub use message::Message;
+pub use message::{Message, Whole};
 pub use organisation::Organisation;
 pub use patch::Patch;
 pub use piece::Piece;
--- a/crates/cloverpost-core/src/directory/table.rs
+++ b/crates/cloverpost-core/src/directory/table.rs
@@ -4,6 +4,9 @@
 
 use crate::directory::{Patch, Removals};
 
+/// Rows of a table that one message may hold whole, some 30 kB; a larger one is fetched in
+/// pieces.
+const WHOLE_ROWS: usize = 256;
 /// Changed rows that one patch holds at most, but for those of one transaction: some
 /// 15 kB, which a link of 10 Mbit/s carries in a tenth of the time that a message may take,
 /// beside eight others.
@@ -165,6 +168,13 @@
         })
     }
 
+    /// Whether a copy that is whole as of `base` lacks more than one message may hold.
+    #[must_use]
+    pub fn is_far_ahead(&self, base: Version) -> bool {
+        let is_ahead = self.changed > base && self.rows.len() > WHOLE_ROWS;
+        is_ahead && self.removals.after(base).is_none()
+    }
+
     fn whole(&self) -> Patch<T> {
         Patch {
             base: None,
@@ -185,7 +195,7 @@
 }
 
 impl<T: Clone> Change<T> {
-    fn from_row((key, row): (&String, &Row<T>)) -> Self {
+    pub(super) fn from_row((key, row): (&String, &Row<T>)) -> Self {
         Self {
             key: key.clone(),
             version: row.version,
--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Member, Page, Piece, Update};
+use cloverpost_core::directory::{Member, Page, Piece, Update, Whole};
 
 use crate::gateway::rollouts::Step;
 use crate::gateway::store::{Error, Topic};
@@ -13,8 +13,8 @@
 pub enum Answer {
     /// What changed in its tables.
     Rows(Result<Box<Update>, peer::Error>),
-    /// Part of a configuration.
-    Piece(Result<Piece, peer::Error>),
+    /// Part of a table.
+    Piece(Whole, Result<Piece, peer::Error>),
 }
 
 /// What the keeper of the tables is told.
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::fetch::Fetched;
-use cloverpost_core::directory::{Member, Page, Unreadable, Update, Upstream, View, watchers};
+use cloverpost_core::directory::{
+    Configuration, Member, Page, Unreadable, Update, Upstream, View, watchers,
+};
 use cloverpost_core::{directory, time};
 use tokio::sync::watch;
 
@@ -136,7 +138,7 @@
     }
 
     /// Takes in a configuration that came from peers.
-    pub(super) fn configure(&mut self, fetched: Fetched) {
+    pub(super) fn configure(&mut self, fetched: Fetched<Configuration>) {
         let version = fetched.version;
         let took_ms = millis(self.now().since(fetched.since));
         if self.image.configure(fetched) {
@@ -146,6 +148,21 @@
         }
     }
 
+    /// Takes in upstreams that came from peers; they are offered to others in turn.
+    pub(super) fn restock(&mut self, fetched: Fetched<Upstream>) {
+        let now = self.now();
+        let (version, took_ms) = (fetched.version, millis(now.since(fetched.since)));
+        let before = self.upstreams_before(now);
+        if self.image.restock(fetched) {
+            self.note_missing(before.as_ref(), now);
+            self.parts.shared.metrics.told_by_peers.inc();
+            let upstreams = self.image.upstreams.rows.len();
+            log::info!(version:% = version, upstreams, took_ms; "took all upstreams from peers");
+            self.publish();
+            self.offer_stock(version);
+        }
+    }
+
     /// Publishes a view of what is believed now.
     pub(super) fn publish(&mut self) {
         let shared = &self.parts.shared;
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -16,7 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Editions, Fetch, Image, Member, Upstream, Version};
+use cloverpost_core::directory::{
+    Configuration, Editions, Fetch, Image, Member, Upstream, Version,
+};
 use cloverpost_core::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -74,9 +76,13 @@
     asked: time::Moment,
     questions: questions::Questions,
     /// The configuration, as peers fetch it.
-    editions: Editions,
+    configurations: Editions,
     /// What is fetched of a newer one.
-    fetch: Fetch,
+    configuration: Fetch<Configuration>,
+    /// The upstreams, as peers fetch them.
+    stocks: Editions,
+    /// What is fetched of them, while this VM lacks too many for a message.
+    stock: Option<Fetch<Upstream>>,
     writes: writes::Writes,
     loads: loads::Loads,
     /// When a VM of the zone last said that it hears from the store.
@@ -118,8 +124,10 @@
             shared_evidence: time::Moment::default(),
             asked: time::Moment::default(),
             questions: questions::Questions::default(),
-            editions: Editions::default(),
-            fetch: Fetch::default(),
+            configurations: Editions::default(),
+            configuration: Fetch::default(),
+            stocks: Editions::default(),
+            stock: None,
             writes: writes::Writes::default(),
             loads: loads::Loads::default(),
             word: time::Moment::default(),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Member, Size, Update};
+use cloverpost_core::directory::{Member, Size, Update, Whole};
 use cloverpost_core::{directory, exposure, id};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
+use rand::seq::IteratorRandom;
 
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
@@ -18,6 +19,8 @@
 /// hears nothing from the store is missed by all once in a hundred changes, and
 /// it asks by itself a moment later.
 const TOLD: usize = 3;
+/// VMs of the zone that are told by one that has fetched all upstreams.
+const OFFERED: usize = 4;
 /// Least time between them while tables change; each may bring a question of every listener.
 const TELL_LEAST: Duration = Duration::from_millis(120);
 /// Time since the store's last answer within which a VM counts as hearing from it: it holds
@@ -176,10 +179,29 @@
                 self.welcome(from);
                 self.answer(incoming.reply, directory::Message::Tell(update));
             }
-            directory::Message::Fetch { version, offset } => {
-                let table = &self.image.configuration;
+            directory::Message::Holds(Whole::Configuration, version) => {
+                self.configuration.hear(from, version);
+            }
+            directory::Message::Holds(Whole::Upstreams, version) => {
+                if let Some(stock) = &mut self.stock {
+                    stock.hear(from, version);
+                }
+            }
+            directory::Message::Fetch {
+                table,
+                version,
+                offset,
+            } => {
+                let image = &self.image;
+                let piece = match table {
+                    Whole::Configuration => {
+                        let table = &image.configuration;
+                        self.configurations.piece(table, version, offset)
+                    }
+                    Whole::Upstreams => self.stocks.piece(&image.upstreams, version, offset),
+                };
                 // Without an answer the peer learns at once that there is none.
-                if let Some(piece) = self.editions.piece(table, version, offset) {
+                if let Some(piece) = piece {
                     self.answer(incoming.reply, directory::Message::Piece(piece));
                 }
             }
@@ -210,6 +232,18 @@
             .collect()
     }
 
+    /// Tells some VMs of the zone that they may fetch the upstreams here. Two watchers of 20 Mbit/s
+    /// would take three seconds to hand 3,000 upstreams to 48 others by themselves.
+    pub(super) fn offer_stock(&self, version: directory::Version) {
+        let own = &self.parts.own;
+        let holds = Message::Directory(directory::Message::Holds(Whole::Upstreams, version));
+        let zone = self.image.members.rows.values().map(|row| &row.value);
+        let zone = zone.filter(|one| one.zone == own.zone && one.vm != own.vm);
+        for member in zone.choose_multiple(&mut rand::rng(), OFFERED) {
+            self.send(&target(member), &holds);
+        }
+    }
+
     pub(super) fn tell_peers(&self) {
         let mut others = self.others();
         let have = Message::Directory(directory::Message::Have(self.image.changes()));
