--- a/crates/cloverpost-core/tests/behaviour/directory/view.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/view.rs
@@ -221,3 +221,17 @@
     let found = directory::base(&image(&[upstream("i-1", "v2")]), &order("v2"));
     assert_eq!(found, None);
 }
+
+#[test]
+fn a_pool_tells_what_another_has_not() {
+    let view = |upstreams: &[Upstream]| View::new(&image(upstreams), &[], &View::default());
+    let one = view(&[upstream("i-1", "v1"), upstream("i-2", "v1")]);
+    let other = view(&[upstream("i-2", "v1"), upstream("i-3", "v1")]);
+    let pool = |view: &View| view.pools.values().next().unwrap().clone();
+    let ids = |pool: &directory::Pool, other: Option<&directory::Pool>| -> Vec<String> {
+        pool.without(other).map(|one| one.id.to_string()).collect()
+    };
+    assert_eq!(ids(&pool(&one), Some(&pool(&other))), ["i-1"]);
+    assert_eq!(ids(&pool(&other), Some(&pool(&one))), ["i-3"]);
+    assert_eq!(ids(&pool(&one), None), ["i-1", "i-2"]);
+}
