fix(cloverpost): the store returns once, not with each table that answers again

The VM's feed of upstreams answered from then on, and brought the removal of an entry 0.5 s after the store had it. The call about the list of VMs was answered only now, since nothing had changed there; that counted as the store's return, and upstreams missing since the return are used for 2.2 s more. Requests reached the upstream 2,078 to 2,091 ms after its removal. Ruled out: the connection to the store gone silent, as was suspected (each feed answered in 10 ms). Change: the first answer of any table after a failure is the return, later ones are not.

--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -32,6 +32,11 @@
         if let Some(since) = self.lost.remove(&topic) {
             let away_ms = millis(now.since(since));
             log::info!(topic = topic.as_str(), away_ms; "the store answers again");
+        }
+        // The first answer about any table is the store's return. Others come later, up to
+        // twenty seconds for one whose rows do not change; taken for a return as well, they kept
+        // an upstream in use that had just been removed, for 2.2 s where 2 are allowed.
+        if std::mem::take(&mut self.is_away) {
             self.returned = Some(now);
         }
         let before = self.upstreams_before(now);
@@ -107,6 +112,7 @@
 
     pub(super) fn lose(&mut self, topic: Topic, error: &Error) {
         let now = self.now();
+        self.is_away = true;
         if self.lost.insert(topic, now).is_none() {
             log::warn!(topic = topic.as_str(), why:% = error; "the store does not answer");
         } else if let Some(since) = self.lost.get_mut(&topic) {
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -65,6 +65,8 @@
     unreadable: HashMap<(Topic, String), Version>,
     /// Topics on which the store does not answer.
     lost: HashMap<Topic, time::Moment>,
+    /// Whether a call to the store failed and none has been answered since.
+    is_away: bool,
     /// When the store last came back.
     returned: Option<time::Moment>,
     /// When the store last answered.
@@ -117,6 +119,7 @@
             missing: HashMap::new(),
             unreadable: HashMap::new(),
             lost: HashMap::new(),
+            is_away: false,
             returned: None,
             answered: time::Moment::default(),
             heard: time::Moment::default(),
