perf(cloverpost): a VM that begins to follow the store tries one call first; fewer lines at the start

A VM that starts before 3,000 upstreams writes a line for each. Change: the first call goes alone, the others when it is answered; 200 lines a service at most, and one with the number of the rest.

--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -200,6 +200,9 @@
         let waits = self.waits_for_list(silence);
         let follows = !waits && silence >= watchers::patience(place, self.quiet());
         let open = follows && rollouts::are_open(&self.image);
+        if follows && !*self.follows.borrow() && self.is_informed() {
+            self.gate.doubt();
+        }
         if set(&self.follows, follows) {
             log::info!(follows, place, silence_ms = millis(silence); "following the store changes");
         }
--- a/crates/cloverpost/src/gateway/control/changes.rs
+++ b/crates/cloverpost/src/gateway/control/changes.rs
@@ -1,6 +1,11 @@
 //! Log lines on changes of what is believed.
 
 use cloverpost_core::directory::View;
+use cloverpost_core::id;
+
+/// Upstreams of a service that get a line each when a view changes. A VM that starts learns of
+/// all at once, and thousands of lines would hold it up as it is waited for.
+const MOST_TOLD: usize = 200;
 
 /// Tells what differs between two views.
 pub(super) fn note(last: &View, view: &View) {
@@ -14,17 +19,29 @@
         if allowed != Some(&pool.allowed) {
             log::info!(service = service.as_str(), allowed:? = pool.allowed; "versions in use");
         }
-        for upstream in pool.without(before) {
+        let new: Vec<_> = pool.without(before).collect();
+        for upstream in new.iter().take(MOST_TOLD) {
             log::info!(
                 upstream = upstream.id.as_str(), service = service.as_str(),
                 version = upstream.version.as_str(), zone = upstream.zone.as_str();
                 "upstream takes work"
             );
         }
+        note_rest(service, new.len(), "more upstreams take work");
     }
     for (service, pool) in &last.pools {
-        for upstream in pool.without(view.pools.get(service)) {
+        let gone: Vec<_> = pool.without(view.pools.get(service)).collect();
+        for upstream in gone.iter().take(MOST_TOLD) {
             log::info!(upstream = upstream.id.as_str(), service = service.as_str(); "upstream gets no more work");
         }
+        note_rest(service, gone.len(), "more upstreams get no more work");
+    }
+}
+
+/// Tells of `count` upstreams how many have no line of their own.
+fn note_rest(service: &id::Pool, count: usize, what: &str) {
+    let more = count.saturating_sub(MOST_TOLD);
+    if more > 0 {
+        log::info!(service = service.as_str(), more; "{what}");
     }
 }
--- a/crates/cloverpost/src/gateway/gate.rs
+++ b/crates/cloverpost/src/gateway/gate.rs
@@ -25,11 +25,14 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    is_failing: AtomicBool,
+    /// Whether one call at a time passes.
+    is_narrow: AtomicBool,
+    /// Whether the last call failed.
+    has_failed: AtomicBool,
     /// Whether other VMs depend on what this one hears.
     is_watcher: AtomicBool,
-    /// The pause before the next call while the store fails.
-    pause: Mutex<Option<Duration>>,
+    /// The pause before the next call while the store fails, for whoever's turn it is.
+    turn: Mutex<Option<Duration>>,
 }
 
 /// Leave to make one call.
@@ -45,17 +48,25 @@
         self.0.is_watcher.store(is_watcher, Ordering::Relaxed);
     }
 
+    /// Lets one call find out whether the store answers before others are made. A VM that begins
+    /// to follow it because nobody tells it anything often does so as the store is away for all:
+    /// three calls of each of 283 VMs hung at once where one shows it.
+    pub fn doubt(&self) {
+        self.0.is_narrow.store(true, Ordering::Relaxed);
+    }
+
     /// Waits until a call may be made.
     pub async fn enter(&self) -> Leave<'_> {
-        if !self.0.is_failing.load(Ordering::Relaxed) {
+        let is_narrow = || self.0.is_narrow.load(Ordering::Relaxed);
+        if !is_narrow() {
             return Leave {
                 gate: self,
                 turn: None,
             };
         }
-        let turn = self.0.pause.lock().await;
+        let turn = self.0.turn.lock().await;
         // The one before may have found the store back.
-        if self.0.is_failing.load(Ordering::Relaxed) {
+        if is_narrow() && self.0.has_failed.load(Ordering::Relaxed) {
             let pause = turn.unwrap_or(PAUSE).min(self.most());
             sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
         }
@@ -88,13 +99,12 @@
 
     /// Notes how the call ended.
     pub fn close(self, is_answered: bool) {
-        self.gate
-            .0
-            .is_failing
-            .store(!is_answered, Ordering::Relaxed);
+        let gate = &self.gate.0;
+        gate.is_narrow.store(!is_answered, Ordering::Relaxed);
+        gate.has_failed.store(!is_answered, Ordering::Relaxed);
         if let Some(mut pause) = self.turn {
-            let longer = || pause.unwrap_or(PAUSE).saturating_mul(2).min(PAUSE_OTHERS);
-            *pause = (!is_answered).then(longer);
+            let longer = pause.unwrap_or(PAUSE).saturating_mul(2).min(PAUSE_OTHERS);
+            *pause = (!is_answered).then_some(longer);
         }
     }
 }
--- a/crates/cloverpost/tests/behaviour/gateway/gate.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/gate.rs
@@ -35,6 +35,24 @@
     assert_eq!(now.elapsed(), Duration::ZERO);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_doubted_store_gets_one_call_at_once() {
+    // Nobody tells a VM anything any more. Often the store is away for all, and each of its
+    // tables tried at once is a call in vain; if only the watchers are gone, it must not wait.
+    let gate = Gate::default();
+    gate.doubt();
+    let now = Instant::now();
+    let first = gate.enter().await;
+    assert_eq!(now.elapsed(), Duration::ZERO);
+    let second = timeout(Duration::from_mins(1), gate.enter()).await;
+    assert!(second.is_err(), "it waits for the end of the first");
+    first.close(true);
+    let now = Instant::now();
+    let (one, other) = (gate.enter().await, gate.enter().await);
+    assert_eq!((one.wait(WAIT), other.wait(WAIT)), (WAIT, WAIT));
+    assert_eq!(now.elapsed(), Duration::ZERO);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_vm_that_others_listen_to_finds_the_store_back_sooner() {
     // Each VM that the store refuses pays for its calls; one that others listen to must find it
