fix(cloverpost): VMs that start together leave a long read to the watchers

Cause: a VM that starts gives the watchers of its zone 0.3 s to tell it everything. They need longer for 3,000 upstreams; then 48 others of the zone read the same rows from the store. Change: an answer of a VM that follows the store and whose calls do not fail counts as word while it is still reading.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -168,7 +168,7 @@
             self.upstreams.since(versions.upstreams)
         };
         Update {
-            hears: false,
+            follows: false,
             returned: None,
             configuration: newest(&self.configuration),
             orders: self.orders.since(versions.orders),
@@ -208,8 +208,9 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Update {
-    /// Whether the peer hears from the store.
-    pub hears: bool,
+    /// Whether the peer follows the store and no call of it fails: what it does not know yet it
+    /// will know soon.
+    pub follows: bool,
     /// Time since the store came back to the peer, if that was a moment ago: entries of upstreams
     /// that live may be missing.
     pub returned: Option<Duration>,
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -124,8 +124,10 @@
     pub(super) fn update(&mut self, peer: &Member, took: Duration, update: Update) {
         let now = self.now();
         self.knows_members |= update.members.is_some();
-        if update.hears && peer.zone == self.parts.own.zone {
-            self.word = now;
+        if update.follows {
+            // Also while it is still reading: a large table takes it longer than others are
+            // patient, and as a whole site starts again each of them would read it as well.
+            self.hear_word(peer);
         }
         if let Some(ago) = update.returned {
             let returned = time::Moment::new(now.since_start().saturating_sub(ago));
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -47,6 +47,11 @@
         self.is_informed() && *self.follows.borrow() && self.lost.is_empty() && is_answered
     }
 
+    /// Whether this VM has just started and reads what it needs from the store.
+    fn is_reading(&self) -> bool {
+        !self.is_informed() && *self.follows.borrow() && self.lost.is_empty()
+    }
+
     /// Tells the VMs of the same availability zone, and the watchers of the next one, that this
     /// one hears from the store.
     pub(super) fn tell_listeners(&mut self) {
@@ -70,9 +75,9 @@
         }
     }
 
-    /// Takes in that `from` hears from the store. Word of a VM that ranks behind this one does
+    /// Takes in that `from` hears from the store, or is about to. Word of a VM that ranks behind this one does
     /// not count: each would leave the store to the other.
-    fn hear_word(&mut self, from: &Member) {
+    pub(super) fn hear_word(&mut self, from: &Member) {
         let now = self.now();
         self.heard = now;
         let members = &self.image.members;
@@ -172,7 +177,7 @@
             }
             directory::Message::Ask(versions) => {
                 let update = Box::new(Update {
-                    hears: self.hears(),
+                    follows: self.hears() || self.is_reading(),
                     returned: self.returned_ago(),
                     ..self.image.since(&versions)
                 });
