refactor(cloverpost): standard names for what follows the store; an outage ends once for listeners too

Names: circuit breaker, permit, takeover delay, write delay, editions and fetch of upstreams. Also, found by reading: a VM that listens kept the mark of a failed call after the others had seen the store return; as it followed again later, its first answer counted as the return, and an upstream removed then was used for 2.2 s more.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -154,7 +154,7 @@
     }
 
     /// Takes upstreams that were fetched from peers; whether they differ.
-    pub fn restock(&mut self, fetched: Fetched<Upstream>) -> bool {
+    pub fn replace_upstreams(&mut self, fetched: Fetched<Upstream>) -> bool {
         self.upstreams.replace(fetched.rows, fetched.whole_as_of)
     }
 
--- a/crates/cloverpost-core/src/directory/watchers.rs
+++ b/crates/cloverpost-core/src/directory/watchers.rs
@@ -14,9 +14,9 @@
 
 /// VMs of an availability zone that follow the store at all times: one may be gone or cut off.
 pub const WATCHERS: usize = 2;
-/// Time without word from a VM that hears from the store after which the first others follow
-/// it. Such word comes three times a second, so three messages in a row are lost, and a change
-/// is still in force within two seconds.
+/// Time without a message from a VM that hears from the store after which the first others follow
+/// it. Such messages come three times a second, so three in a row are lost, and a change is
+/// still in force within two seconds.
 pub const QUIET: Duration = Duration::from_millis(1200);
 /// The same for a VM that has just started and cannot serve yet: a watcher that starts in the
 /// same moment has read the store and told others after some 0.1 s.
@@ -70,10 +70,10 @@
     }
 }
 
-/// Time without word after which the VM at `place` of its availability zone follows the store;
+/// Time without such a message after which the VM at `place` of its availability zone follows the store;
 /// `quiet` is what the first group waits.
 #[must_use]
-pub fn patience(place: usize, quiet: Duration) -> Duration {
+pub fn takeover_delay(place: usize, quiet: Duration) -> Duration {
     if place < WATCHERS {
         return Duration::ZERO;
     }
--- a/crates/cloverpost-core/src/exposure/judges.rs
+++ b/crates/cloverpost-core/src/exposure/judges.rs
@@ -39,7 +39,7 @@
 /// one did and 379 writes failed, 150 of them refused since a part of the store takes no more
 /// than 150 a second. If all judges are gone, four VMs try in their place, then eight more.
 #[must_use]
-pub fn deference<'a>(
+pub fn write_delay<'a>(
     service: &id::Pool,
     members: impl Iterator<Item = &'a id::Vm>,
     own: &id::Vm,
--- a/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
@@ -397,7 +397,7 @@
             break fetched;
         }
     };
-    assert!(copy.restock(fetched));
+    assert!(copy.replace_upstreams(fetched));
     assert_eq!(copy.upstreams.rows, image.upstreams.rows);
     // From here on it is told of changes alone.
     let update = image.since(&copy.versions());
--- a/crates/cloverpost-core/tests/behaviour/directory/watchers.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/watchers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::watchers::{QUIET, START, patience};
+use cloverpost_core::directory::watchers::{QUIET, START, takeover_delay};
 use cloverpost_core::directory::{Member, Row, Size, Table, Version};
 use cloverpost_core::id;
 
@@ -88,17 +88,17 @@
     let table = table(zone_of(50));
     for row in table.rows.values() {
         let place = table.place(&row.value);
-        assert!(patience(place, QUIET) <= Duration::from_secs(2));
-        assert!(patience(place, START) <= Duration::from_millis(1200));
+        assert!(takeover_delay(place, QUIET) <= Duration::from_secs(2));
+        assert!(takeover_delay(place, START) <= Duration::from_millis(1200));
     }
-    assert_eq!(patience(0, QUIET), Duration::ZERO);
+    assert_eq!(takeover_delay(0, QUIET), Duration::ZERO);
 }
 
 #[test]
 fn few_follow_at_first_when_the_watchers_are_gone() {
     let follow = |waited| {
         (2..50)
-            .filter(|place| patience(*place, QUIET) <= waited)
+            .filter(|place| takeover_delay(*place, QUIET) <= waited)
             .count()
     };
     assert_eq!(follow(QUIET), 4);
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -5,7 +5,7 @@
 
 use cloverpost_core::directory::{Rollout, Version};
 use cloverpost_core::exposure::{
-    Allowance, Pins, Sessions, Stage, Tally, deference, judges, stage,
+    Allowance, Pins, Sessions, Stage, Tally, judges, stage, write_delay,
 };
 use cloverpost_core::{id, time};
 use rstest::rstest;
@@ -281,7 +281,7 @@
         .collect();
     let service = "app".parse().unwrap();
     let judges = judges(&service, names.iter());
-    let waits = |own| deference(&service, names.iter(), own);
+    let waits = |own| write_delay(&service, names.iter(), own);
     let by = |millis| {
         let limit = Duration::from_millis(millis);
         names.iter().filter(|own| waits(own) <= limit).count()
--- a/crates/cloverpost/src/gateway/gate.rs
+++ b/crates/cloverpost/src/gateway/breaker.rs
@@ -1,4 +1,5 @@
-//! Lets calls to the store through: all while it answers, one at a time while it does not.
+//! A circuit breaker for calls to the store: all pass while it answers, one at a time while it
+//! does not.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,17 +17,17 @@
 /// store's return from them.
 const PAUSE_OTHERS: Duration = Duration::from_millis(1800);
 
-/// Lets calls to the store through; clones are one gate.
+/// Lets calls to the store through; clones are one breaker.
 ///
 /// Each call is paid for, refused ones too. A VM follows several tables; if each were tried by
 /// itself while the store is away, 295 VMs would make some 2,000 calls a second in vain.
 #[derive(Clone, Debug, Default)]
-pub struct Gate(Arc<Inner>);
+pub struct Breaker(Arc<Inner>);
 
 #[derive(Debug, Default)]
 struct Inner {
-    /// Whether one call at a time passes.
-    is_narrow: AtomicBool,
+    /// Whether one call at a time passes, to find out whether the store answers.
+    is_half_open: AtomicBool,
     /// Whether the last call failed.
     has_failed: AtomicBool,
     /// Whether other VMs depend on what this one hears.
@@ -35,14 +36,14 @@
     turn: Mutex<Option<Duration>>,
 }
 
-/// Leave to make one call.
+/// Permit to make one call.
 #[derive(Debug)]
-pub struct Leave<'a> {
-    gate: &'a Gate,
+pub struct Permit<'a> {
+    breaker: &'a Breaker,
     turn: Option<MutexGuard<'a, Option<Duration>>>,
 }
 
-impl Gate {
+impl Breaker {
     /// Notes whether other VMs depend on what this one hears.
     pub fn set_watcher(&self, is_watcher: bool) {
         self.0.is_watcher.store(is_watcher, Ordering::Relaxed);
@@ -51,27 +52,27 @@
     /// Lets one call find out whether the store answers before others are made. A VM that begins
     /// to follow it because nobody tells it anything often does so as the store is away for all:
     /// three calls of each of 283 VMs hung at once where one shows it.
-    pub fn doubt(&self) {
-        self.0.is_narrow.store(true, Ordering::Relaxed);
+    pub fn half_open(&self) {
+        self.0.is_half_open.store(true, Ordering::Relaxed);
     }
 
     /// Waits until a call may be made.
-    pub async fn enter(&self) -> Leave<'_> {
-        let is_narrow = || self.0.is_narrow.load(Ordering::Relaxed);
-        if !is_narrow() {
-            return Leave {
-                gate: self,
+    pub async fn acquire(&self) -> Permit<'_> {
+        let is_half_open = || self.0.is_half_open.load(Ordering::Relaxed);
+        if !is_half_open() {
+            return Permit {
+                breaker: self,
                 turn: None,
             };
         }
         let turn = self.0.turn.lock().await;
         // The one before may have found the store back.
-        if is_narrow() && self.0.has_failed.load(Ordering::Relaxed) {
+        if is_half_open() && self.0.has_failed.load(Ordering::Relaxed) {
             let pause = turn.unwrap_or(PAUSE).min(self.most());
             sleep(pause.mul_f64(rand::random_range(0.5..1.0))).await;
         }
-        Leave {
-            gate: self,
+        Permit {
+            breaker: self,
             turn: Some(turn),
         }
     }
@@ -85,7 +86,7 @@
     }
 }
 
-impl Leave<'_> {
+impl Permit<'_> {
     /// Time that the store may hold the call back, of `usual`. A call that finds out whether the
     /// store answers must not: all others wait for its end.
     #[must_use]
@@ -99,9 +100,9 @@
 
     /// Notes how the call ended.
     pub fn close(self, is_answered: bool) {
-        let gate = &self.gate.0;
-        gate.is_narrow.store(!is_answered, Ordering::Relaxed);
-        gate.has_failed.store(!is_answered, Ordering::Relaxed);
+        let inner = &self.breaker.0;
+        inner.is_half_open.store(!is_answered, Ordering::Relaxed);
+        inner.has_failed.store(!is_answered, Ordering::Relaxed);
         if let Some(mut pause) = self.turn {
             let longer = pause.unwrap_or(PAUSE).saturating_mul(2).min(PAUSE_OTHERS);
             *pause = (!is_answered).then_some(longer);
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -127,7 +127,7 @@
         if update.follows {
             // Also while it is still reading: a large table takes it longer than others are
             // patient, and as a whole site starts again each of them would read it as well.
-            self.hear_word(peer);
+            self.note_fresh(peer);
         }
         if let Some(ago) = update.returned {
             let returned = time::Moment::new(now.since_start().saturating_sub(ago));
@@ -157,17 +157,17 @@
     }
 
     /// Takes in upstreams that came from peers; they are offered to others in turn.
-    pub(super) fn restock(&mut self, fetched: Fetched<Upstream>) {
+    pub(super) fn replace_upstreams(&mut self, fetched: Fetched<Upstream>) {
         let now = self.now();
         let (version, took_ms) = (fetched.version, millis(now.since(fetched.since)));
         let before = self.upstreams_before(now);
-        if self.image.restock(fetched) {
+        if self.image.replace_upstreams(fetched) {
             self.note_missing(before.as_ref(), now);
             self.parts.shared.metrics.told_by_peers.inc();
             let upstreams = self.image.upstreams.rows.len();
             log::info!(version:% = version, upstreams, took_ms; "took all upstreams from peers");
             self.publish();
-            self.offer_stock(version);
+            self.offer_upstreams(version);
         }
     }
 
@@ -198,12 +198,12 @@
     /// long as they say that they hear from it.
     pub(super) fn choose_to_follow(&mut self) {
         let place = self.image.members.place(&self.parts.own);
-        let silence = self.now().since(self.word);
+        let silence = self.now().since(self.fresh);
         let waits = self.waits_for_list(silence);
-        let follows = !waits && silence >= watchers::patience(place, self.quiet());
+        let follows = !waits && silence >= watchers::takeover_delay(place, self.quiet());
         let open = follows && rollouts::are_open(&self.image);
         if follows && !*self.follows.borrow() && self.is_informed() {
-            self.gate.doubt();
+            self.breaker.half_open();
         }
         if set(&self.follows, follows) {
             log::info!(follows, place, silence_ms = millis(silence); "following the store changes");
@@ -214,8 +214,10 @@
         );
         set(&self.follows_progress, open);
         if !follows {
-            // What is not followed cannot be heard to come back.
+            // What is not followed cannot be heard to come back, and an outage that others see
+            // through must not count as one that ends when this VM follows again.
             self.lost.clear();
+            self.is_away = false;
         }
         if !open {
             self.lost.remove(&Topic::Progress);
@@ -223,11 +225,11 @@
         let is_serving = *self.parts.shared.phase.borrow() == Phase::Serving;
         let is_unlisted = is_serving && self.knows_members && !self.is_listed();
         set(&self.is_unlisted, is_unlisted);
-        self.gate.set_watcher(place < watchers::WATCHERS);
+        self.breaker.set_watcher(place < watchers::WATCHERS);
     }
 
-    /// Time without word after which the first VMs take over from watchers.
-    pub(super) fn quiet(&self) -> Duration {
+    /// Time without news of a watcher after which the first VMs take over.
+    fn quiet(&self) -> Duration {
         if self.is_informed() {
             watchers::QUIET
         } else {
--- a/crates/cloverpost/src/gateway/control/duties.rs
+++ b/crates/cloverpost/src/gateway/control/duties.rs
@@ -48,7 +48,7 @@
             self.asked = now;
             self.ask_a_peer(myself);
         }
-        self.ask_while_unheard(myself);
+        self.ask_a_watcher(myself);
         self.go_on(myself);
         self.share_loads();
         self.choose_to_follow();
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -23,10 +23,10 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
 
+use crate::gateway::breaker::Breaker;
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
 use crate::gateway::follow::Follower;
-use crate::gateway::gate::Gate;
 use crate::gateway::store::{Store, Topic};
 use crate::gateway::{Shared, loads};
 use crate::peer;
@@ -71,28 +71,28 @@
     returned: Option<time::Moment>,
     /// When the store last answered.
     answered: time::Moment,
-    /// When the store last answered, or a peer that hears from it last sent word.
+    /// When the store last answered, or a peer that hears from it last said so.
     heard: time::Moment,
     swept: time::Moment,
     shared_evidence: time::Moment,
     asked: time::Moment,
     questions: questions::Questions,
     /// The configuration, as peers fetch it.
-    configurations: Editions,
+    configuration_editions: Editions,
     /// What is fetched of a newer one.
-    configuration: Fetch<Configuration>,
+    configuration_fetch: Fetch<Configuration>,
     /// The upstreams, as peers fetch them.
-    stocks: Editions,
+    upstream_editions: Editions,
     /// What is fetched of them, while this VM lacks too many for a message.
-    stock: Option<Fetch<Upstream>>,
+    upstream_fetch: Option<Fetch<Upstream>>,
     writes: writes::Writes,
     loads: loads::Loads,
     /// When a VM of the zone last said that it hears from the store.
-    word: time::Moment,
+    fresh: time::Moment,
     told: time::Moment,
     /// VMs of the zone that asked and are not on the list yet.
-    guests: HashMap<id::Vm, (Member, time::Moment)>,
-    gate: Gate,
+    unlisted: HashMap<id::Vm, (Member, time::Moment)>,
+    breaker: Breaker,
     /// Whether the list of VMs has been read, by this VM or a peer.
     knows_members: bool,
     /// Whether the list of VMs says that this one is to be written to it.
@@ -127,16 +127,16 @@
             shared_evidence: time::Moment::default(),
             asked: time::Moment::default(),
             questions: questions::Questions::default(),
-            configurations: Editions::default(),
-            configuration: Fetch::default(),
-            stocks: Editions::default(),
-            stock: None,
+            configuration_editions: Editions::default(),
+            configuration_fetch: Fetch::default(),
+            upstream_editions: Editions::default(),
+            upstream_fetch: None,
             writes: writes::Writes::default(),
             loads: loads::Loads::default(),
-            word: time::Moment::default(),
+            fresh: time::Moment::default(),
             told: time::Moment::default(),
-            guests: HashMap::new(),
-            gate: Gate::default(),
+            unlisted: HashMap::new(),
+            breaker: Breaker::default(),
             knows_members: false,
             is_unlisted: watch::Sender::new(false),
             follows: watch::Sender::new(false),
@@ -159,7 +159,7 @@
                 topic,
                 keeper: myself.clone(),
                 metrics: state.parts.shared.metrics.clone(),
-                gate: state.gate.clone(),
+                breaker: state.breaker.clone(),
             };
             tokio::spawn(follower.run(wanted));
         }
@@ -181,7 +181,7 @@
         match command {
             Command::Learned { topic, page, whole } => {
                 state.learn(topic, *page, whole);
-                state.ask_while_unheard(&myself);
+                state.ask_a_watcher(&myself);
                 state.drive_rollouts(&myself);
             }
             Command::Lost { topic, error } => state.lose(topic, &error),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -28,9 +28,9 @@
 const HEARS: Duration = Duration::from_millis(2700);
 /// Time for which a VM that asked is told although it is not on the list; the list comes within
 /// some seconds.
-const GUEST: Duration = Duration::from_secs(10);
+const UNLISTED: Duration = Duration::from_secs(10);
 /// VMs that are told so at most, 200 bytes each.
-const MOST_GUESTS: usize = 200;
+const MOST_UNLISTED: usize = 200;
 
 impl<C: Codec, S: Store> State<C, S> {
     pub(super) fn share_loads(&mut self) {
@@ -62,22 +62,22 @@
         self.told = now;
         let own = &self.parts.own;
         let members = &self.image.members;
-        self.guests.retain(|vm, (_, asked)| {
-            !members.rows.contains_key(vm.as_str()) && now.since(*asked) < GUEST
+        self.unlisted.retain(|vm, (_, asked)| {
+            !members.rows.contains_key(vm.as_str()) && now.since(*asked) < UNLISTED
         });
         let zone = members.rows.values().map(|row| &row.value);
         let zone = zone.filter(|one| one.zone == own.zone && one.vm != own.vm);
-        let guests = self.guests.values().map(|(guest, _)| guest);
+        let unlisted = self.unlisted.values().map(|(member, _)| member);
         let others = members.next_watchers(&own.zone);
         let fresh = Message::Directory(directory::Message::Fresh(self.image.changes()));
-        for member in zone.chain(guests).chain(others) {
+        for member in zone.chain(unlisted).chain(others) {
             self.send(&target(member), &fresh);
         }
     }
 
-    /// Takes in that `from` hears from the store, or is about to. Word of a VM that ranks behind this one does
-    /// not count: each would leave the store to the other.
-    pub(super) fn hear_word(&mut self, from: &Member) {
+    /// Takes in that `from` hears from the store, or is about to. What a VM that ranks behind this
+    /// one says does not count: each would leave the store to the other.
+    pub(super) fn note_fresh(&mut self, from: &Member) {
         let now = self.now();
         self.heard = now;
         let members = &self.image.members;
@@ -85,7 +85,7 @@
         let is_before =
             listed.is_none_or(|listed| members.place(listed) < members.place(&self.parts.own));
         if from.zone == self.parts.own.zone && is_before {
-            self.word = now;
+            self.fresh = now;
         }
     }
 
@@ -171,7 +171,7 @@
                 self.hear_of(myself, from, changes, lacks);
             }
             directory::Message::Fresh(changes) => {
-                self.hear_word(&from);
+                self.note_fresh(&from);
                 let lacks = self.image.versions().is_older_than(&changes);
                 self.hear_of(myself, from, changes, lacks);
             }
@@ -185,11 +185,11 @@
                 self.answer(incoming.reply, directory::Message::Tell(update));
             }
             directory::Message::Holds(Whole::Configuration, version) => {
-                self.configuration.hear(from, version);
+                self.configuration_fetch.hear(from, version);
             }
             directory::Message::Holds(Whole::Upstreams, version) => {
-                if let Some(stock) = &mut self.stock {
-                    stock.hear(from, version);
+                if let Some(fetch) = &mut self.upstream_fetch {
+                    fetch.hear(from, version);
                 }
             }
             directory::Message::Fetch {
@@ -201,9 +201,12 @@
                 let piece = match table {
                     Whole::Configuration => {
                         let table = &image.configuration;
-                        self.configurations.piece(table, version, offset)
+                        self.configuration_editions.piece(table, version, offset)
+                    }
+                    Whole::Upstreams => {
+                        self.upstream_editions
+                            .piece(&image.upstreams, version, offset)
                     }
-                    Whole::Upstreams => self.stocks.piece(&image.upstreams, version, offset),
                 };
                 // Without an answer the peer learns at once that there is none.
                 if let Some(piece) = piece {
@@ -218,9 +221,9 @@
     /// Remembers a VM of the zone that is not on the list yet, so that it is told as well.
     fn welcome(&mut self, from: Member) {
         let is_listed = self.image.members.rows.contains_key(from.vm.as_str());
-        if from.zone == self.parts.own.zone && !is_listed && self.guests.len() < MOST_GUESTS {
+        if from.zone == self.parts.own.zone && !is_listed && self.unlisted.len() < MOST_UNLISTED {
             let now = self.now();
-            self.guests.insert(from.vm.clone(), (from, now));
+            self.unlisted.insert(from.vm.clone(), (from, now));
         }
     }
 
@@ -239,7 +242,7 @@
 
     /// Tells some VMs of the zone that they may fetch the upstreams here. Two watchers of 20 Mbit/s
     /// would take three seconds to hand 3,000 upstreams to 48 others by themselves.
-    pub(super) fn offer_stock(&self, version: directory::Version) {
+    pub(super) fn offer_upstreams(&self, version: directory::Version) {
         let own = &self.parts.own;
         let holds = Message::Directory(directory::Message::Holds(Whole::Upstreams, version));
         let zone = self.image.members.rows.values().map(|row| &row.value);
--- a/crates/cloverpost/src/gateway/control/questions.rs
+++ b/crates/cloverpost/src/gateway/control/questions.rs
@@ -22,7 +22,7 @@
 use crate::gateway::store::Store;
 use crate::peer;
 
-/// Time without word after which a VM that listens asks for it: two messages are overdue.
+/// Time after which a VM that listens asks for a message that does not come: two are overdue.
 const OVERDUE: Duration = Duration::from_millis(700);
 /// Time between questions of a VM that cannot serve yet.
 const SEEK: Duration = Duration::from_millis(100);
@@ -47,7 +47,8 @@
         changes: Versions,
         lacks: bool,
     ) {
-        self.configuration.hear(from.clone(), changes.configuration);
+        self.configuration_fetch
+            .hear(from.clone(), changes.configuration);
         if lacks {
             self.questions.told = Some((from, changes));
         }
@@ -74,14 +75,14 @@
         self.fetch_on(myself);
     }
 
-    /// Asks a VM that should hear from the store, while none sends word: at once and again as
+    /// Asks a VM that should hear from the store, while none says so: at once and again as
     /// long as this VM cannot serve, later once two messages are overdue. Such a VM also learns
     /// of this one that way, if the list that it has does not hold it yet.
-    pub(super) fn ask_while_unheard(&mut self, myself: &ActorRef<Command>) {
+    pub(super) fn ask_a_watcher(&mut self, myself: &ActorRef<Command>) {
         let now = self.now();
         let is_due = if self.is_informed() {
             let is_listening = !*self.follows.borrow();
-            is_listening && now.since(self.word) > OVERDUE && now.since(self.asked) > OVERDUE
+            is_listening && now.since(self.fresh) > OVERDUE && now.since(self.asked) > OVERDUE
         } else {
             now.since(self.asked) > SEEK
         };
@@ -134,13 +135,13 @@
         let zone = &self.parts.own.zone;
         let mut rng = rand::rng();
         let own = self.image.configuration.version;
-        if let Some(question) = self.configuration.next(now, own, zone, &mut rng) {
+        if let Some(question) = self.configuration_fetch.next(now, own, zone, &mut rng) {
             self.fetch(myself, Whole::Configuration, &question);
         }
-        let stock = self.stock.as_mut();
+        let fetch = self.upstream_fetch.as_mut();
         // Whatever this VM holds is of no use here, so any version is newer.
         let none = directory::Version::default();
-        if let Some(question) = stock.and_then(|stock| stock.next(now, none, zone, &mut rng)) {
+        if let Some(question) = fetch.and_then(|fetch| fetch.next(now, none, zone, &mut rng)) {
             self.fetch(myself, Whole::Upstreams, &question);
         }
     }
@@ -212,14 +213,15 @@
     }
 
     fn take_rows(&mut self, peer: &Member, took: Duration, update: Update) {
-        self.configuration.hear(peer.clone(), update.configuration);
+        self.configuration_fetch
+            .hear(peer.clone(), update.configuration);
         match update.upstreams_to_fetch {
             Some(version) => {
-                let stock = self.stock.get_or_insert_default();
-                stock.hear(peer.clone(), version);
+                let fetch = self.upstream_fetch.get_or_insert_default();
+                fetch.hear(peer.clone(), version);
             }
             // It has brought what was lacking.
-            None if update.upstreams.is_some() => self.stock = None,
+            None if update.upstreams.is_some() => self.upstream_fetch = None,
             None => {}
         }
         self.update(peer, took, update);
@@ -228,19 +230,19 @@
     /// Takes in a piece of `table` that `peer` has sent, or that none came.
     fn take_piece(&mut self, peer: &Member, table: Whole, piece: Option<&Piece>) {
         let now = self.now();
-        match (table, &mut self.stock, piece) {
-            (Whole::Configuration, _, None) => self.configuration.fail(&peer.vm),
+        match (table, &mut self.upstream_fetch, piece) {
+            (Whole::Configuration, _, None) => self.configuration_fetch.fail(&peer.vm),
             (Whole::Configuration, _, Some(piece)) => {
-                if let Some(fetched) = self.configuration.take(&peer.vm, piece, now) {
+                if let Some(fetched) = self.configuration_fetch.take(&peer.vm, piece, now) {
                     self.configure(fetched);
                 }
             }
             (Whole::Upstreams, None, _) => {}
-            (Whole::Upstreams, Some(stock), None) => stock.fail(&peer.vm),
-            (Whole::Upstreams, Some(stock), Some(piece)) => {
-                if let Some(fetched) = stock.take(&peer.vm, piece, now) {
-                    self.stock = None;
-                    self.restock(fetched);
+            (Whole::Upstreams, Some(fetch), None) => fetch.fail(&peer.vm),
+            (Whole::Upstreams, Some(fetch), Some(piece)) => {
+                if let Some(fetched) = fetch.take(&peer.vm, piece, now) {
+                    self.upstream_fetch = None;
+                    self.replace_upstreams(fetched);
                 }
             }
         }
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -7,8 +7,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
+use crate::gateway::breaker::Breaker;
 use crate::gateway::command::Command;
-use crate::gateway::gate::Gate;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::store::{Error, Store, Topic};
 
@@ -52,7 +52,7 @@
     /// Counters of calls.
     pub metrics: Metrics,
     /// Which calls may be made.
-    pub gate: Gate,
+    pub breaker: Breaker,
 }
 
 /// How far a topic is followed.
@@ -88,12 +88,12 @@
 
     /// Waits for changes after `version`.
     async fn follow(&self, version: Version, read: Instant) -> Place {
-        let leave = self.gate.enter().await;
+        let permit = self.breaker.acquire().await;
         let started = Instant::now();
-        let wait = leave.wait(pace(self.topic).wait);
+        let wait = permit.wait(pace(self.topic).wait);
         let result = self.store.follow(self.topic, version, wait).await;
         self.count(result.as_ref().err(), started);
-        leave.close(matches!(result, Ok(_) | Err(Error::Forgotten)));
+        permit.close(matches!(result, Ok(_) | Err(Error::Forgotten)));
         match result {
             Ok(page) => {
                 let place = Place::Following(page.version, read);
@@ -116,12 +116,12 @@
     /// A part that fails is asked for again, and those before it stay. Begun anew, a large table
     /// would never come whole from a store that refuses one call in twenty.
     async fn read(&self, parts: Option<(Page, String)>) -> Place {
-        let leave = self.gate.enter().await;
+        let permit = self.breaker.acquire().await;
         let started = Instant::now();
         let after = parts.as_ref().map(|(_, after)| after.as_str());
         let result = self.store.read(self.topic, after).await;
         self.count(result.as_ref().err(), started);
-        leave.close(result.is_ok());
+        permit.close(result.is_ok());
         let part = match result {
             Ok(part) => part,
             Err(error) => {
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -14,13 +14,13 @@
 
 mod answer;
 mod attempt;
+pub mod breaker;
 pub mod codec;
 pub mod command;
 pub mod control;
 pub mod events;
 mod evidence;
 mod follow;
-pub mod gate;
 mod in_flight;
 mod job;
 mod loads;
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -66,7 +66,7 @@
         .filter(|progress| progress.answers(order, version));
     let waits = || {
         let vms = image.members.rows.values().map(|row| &row.value.vm);
-        exposure::deference(&order.service, vms, &shared.settings.load().vm)
+        exposure::write_delay(&order.service, vms, &shared.settings.load().vm)
     };
     let Some(current) = current else {
         return Some(Step {
--- a/crates/cloverpost/tests/behaviour/gateway/mod.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/mod.rs
@@ -1,5 +1,5 @@
 //! The gateway's parts that need no sockets.
 
+mod breaker;
 mod events;
-mod gate;
 mod settings;
