--- a/crates/cloverpost-core/src/directory/encoded.rs
+++ b/crates/cloverpost-core/src/directory/encoded.rs
@@ -1,9 +1,9 @@
 //! Tables as peers fetch them: encoded once, handed out in pieces.
 //!
-//! A configuration may be hundreds of kilobytes, and so may 3,000 upstreams. In one message it takes a narrow link longer
-//! than a message may take while the other VMs of a zone fetch it as well; what has come by
-//! then is lost, and asked for again. A piece is small, so that it comes in time and what has
-//! come stays.
+//! A configuration may be hundreds of kilobytes, and so may 3,000 upstreams. In one message it
+//! takes a narrow link longer than a message may take while the other VMs of a zone fetch it as
+//! well; what has come by then is lost, and asked for again. A piece is small, so that it comes
+//! in time and what has come stays.
 
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/crates/cloverpost-core/src/directory/watchers.rs
+++ b/crates/cloverpost-core/src/directory/watchers.rs
@@ -70,8 +70,8 @@
     }
 }
 
-/// Time without such a message after which the VM at `place` of its availability zone follows the store;
-/// `quiet` is what the first group waits.
+/// Time without such a message after which the VM at `place` of its availability zone follows
+/// the store; `quiet` is what the first group waits.
 #[must_use]
 pub fn takeover_delay(place: usize, quiet: Duration) -> Duration {
     if place < WATCHERS {
--- a/crates/cloverpost-core/src/exposure/judges.rs
+++ b/crates/cloverpost-core/src/exposure/judges.rs
@@ -36,7 +36,7 @@
 /// written.
 ///
 /// Whoever comes second writes in vain. Of 295 VMs that all tried to begin a roll-out at once,
-/// one did and 379 writes failed, 150 of them refused since a part of the store takes no more
+/// one did and 379 writes failed, 135 of them refused since a part of the store takes no more
 /// than 150 a second. If all judges are gone, four VMs try in their place, then eight more.
 #[must_use]
 pub fn write_delay<'a>(
