--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -261,11 +261,15 @@
     assert!(!pins.holds(&rollout(7), 11));
 }
 
+/// Names of `count` VMs.
+fn vms(count: usize) -> Vec<id::Vm> {
+    let names = (0..count).map(|one| format!("vm-{one}"));
+    names.map(|name| name.parse().unwrap()).collect()
+}
+
 #[test]
 fn judges_are_the_same_whoever_asks() {
-    let names: Vec<id::Vm> = (0..9)
-        .map(|one| format!("vm-{one}").parse().unwrap())
-        .collect();
+    let names = vms(9);
     let service = "app".parse().unwrap();
     let found = judges(&service, names.iter());
     assert_eq!(found.len(), 3);
@@ -276,9 +280,7 @@
 fn few_vms_write_at_the_same_time() {
     // An operator orders a roll-out and every VM may write that it has begun. One write counts;
     // the others cost a call each, and a part of the store refuses more than 150 a second.
-    let names: Vec<id::Vm> = (0..300)
-        .map(|one| format!("vm-{one}").parse().unwrap())
-        .collect();
+    let names = vms(300);
     let service = "app".parse().unwrap();
     let judges = judges(&service, names.iter());
     let waits = |own| write_delay(&service, names.iter(), own);
