feat(cloverpost): an evacuated availability zone gets no more work

Change: evacuations are a table of the image beside the roll-outs' orders, by feed, whole read and peers' patches; the view leaves the zone's upstreams out, so that no choice can reach them. A VM that starts publishes no view before it has them. The frames' version rises. Ruled out: leaving them out in the choice only, which retries, resumed streams and roll-outs make by several ways.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -5,7 +5,7 @@
 use crate::directory::encoded::newest;
 use crate::directory::fetch::Fetched;
 use crate::directory::{
-    Change, Configuration, Member, Order, Patch, Progress, Table, Upstream, Version,
+    Change, Configuration, Evacuation, Member, Order, Patch, Progress, Table, Upstream, Version,
 };
 
 /// A copy of all tables that a VM follows.
@@ -15,6 +15,8 @@
     pub configuration: Table<Configuration>,
     /// Roll-outs that operators ordered, by service.
     pub orders: Table<Order>,
+    /// Availability zones that are to be empty, by name.
+    pub evacuations: Table<Evacuation>,
     /// Upstreams, by incarnation.
     pub upstreams: Table<Upstream>,
     /// States of roll-outs, by service.
@@ -23,7 +25,7 @@
     pub members: Table<Member>,
 }
 
-/// Changes of one table, or of two that share a feed.
+/// Changes of one table, or of several that share a feed.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Rows {
     /// What operators wrote.
@@ -32,6 +34,8 @@
         configuration: Vec<Change<Configuration>>,
         /// Changed orders.
         orders: Vec<Change<Order>>,
+        /// Changed evacuations.
+        evacuations: Vec<Change<Evacuation>>,
     },
     /// Changed upstreams.
     Upstreams(Vec<Change<Upstream>>),
@@ -75,14 +79,17 @@
                 Rows::Operators {
                     configuration,
                     orders,
+                    evacuations,
                 },
                 Rows::Operators {
                     configuration: more,
                     orders: more_orders,
+                    evacuations: more_evacuations,
                 },
             ) => {
                 configuration.extend(more);
                 orders.extend(more_orders);
+                evacuations.extend(more_evacuations);
             }
             (Rows::Upstreams(rows), Rows::Upstreams(more)) => rows.extend(more),
             (Rows::Progress(rows), Rows::Progress(more)) => rows.extend(more),
@@ -101,10 +108,12 @@
             Rows::Operators {
                 configuration,
                 orders,
+                evacuations,
             } => {
-                let one = self.configuration.apply(configuration, version);
-                let other = self.orders.apply(orders, version);
-                one || other
+                let mut differs = self.configuration.apply(configuration, version);
+                differs |= self.orders.apply(orders, version);
+                differs |= self.evacuations.apply(evacuations, version);
+                differs
             }
             Rows::Upstreams(changes) => self.upstreams.apply(changes, version),
             Rows::Progress(changes) => self.progress.apply(changes, version),
@@ -119,10 +128,12 @@
             Rows::Operators {
                 configuration,
                 orders,
+                evacuations,
             } => {
-                let one = self.configuration.replace(configuration, version);
-                let other = self.orders.replace(orders, version);
-                one || other
+                let mut differs = self.configuration.replace(configuration, version);
+                differs |= self.orders.replace(orders, version);
+                differs |= self.evacuations.replace(evacuations, version);
+                differs
             }
             Rows::Upstreams(rows) => self.upstreams.replace(rows, version),
             Rows::Progress(rows) => self.progress.replace(rows, version),
@@ -136,6 +147,9 @@
         if let Some(patch) = update.orders {
             differs |= self.orders.patch(patch);
         }
+        if let Some(patch) = update.evacuations {
+            differs |= self.evacuations.patch(patch);
+        }
         if let Some(patch) = update.upstreams {
             differs |= self.upstreams.patch(patch);
         }
@@ -172,6 +186,7 @@
             returned: None,
             configuration: newest(&self.configuration),
             orders: self.orders.since(versions.orders),
+            evacuations: self.evacuations.since(versions.evacuations),
             upstreams,
             upstreams_to_fetch: is_far_ahead.then(|| newest(&self.upstreams)),
             progress: self.progress.since(versions.progress),
@@ -185,6 +200,7 @@
         Versions {
             configuration: self.configuration.version,
             orders: self.orders.version,
+            evacuations: self.evacuations.version,
             upstreams: self.upstreams.version,
             progress: self.progress.version,
             members: self.members.version,
@@ -197,6 +213,7 @@
         Versions {
             configuration: newest(&self.configuration),
             orders: self.orders.changed,
+            evacuations: self.evacuations.changed,
             upstreams: self.upstreams.changed,
             progress: self.progress.changed,
             members: self.members.changed,
@@ -218,6 +235,8 @@
     pub configuration: Version,
     /// Of the orders.
     pub orders: Option<Patch<Order>>,
+    /// Of the evacuations.
+    pub evacuations: Option<Patch<Evacuation>>,
     /// Of the upstreams.
     pub upstreams: Option<Patch<Upstream>>,
     /// Version of the newest upstream, if more is lacking than a message may hold; the table is
@@ -237,6 +256,8 @@
     pub configuration: Version,
     /// Of the orders.
     pub orders: Version,
+    /// Of the evacuations.
+    pub evacuations: Version,
     /// Of the upstreams.
     pub upstreams: Version,
     /// Of the states of roll-outs.
@@ -251,16 +272,16 @@
     /// lacks any.
     #[must_use]
     pub fn is_older_than(&self, other: &Self) -> bool {
-        self.orders < other.orders
+        self.lacks_orders(other)
             || self.upstreams < other.upstreams
             || self.progress < other.progress
             || self.members < other.members
     }
 
-    /// Whether the copy lacks orders that another one with the changes `other` holds. Of
-    /// the other tables everybody has another version at every moment.
+    /// Whether the copy lacks orders of operators that another one with the changes `other`
+    /// holds. Of the other tables everybody has another version at every moment.
     #[must_use]
     pub fn lacks_orders(&self, other: &Self) -> bool {
-        self.orders < other.orders
+        self.orders < other.orders || self.evacuations < other.evacuations
     }
 }
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -8,6 +8,7 @@
 mod asked;
 mod configuration;
 pub mod encoded;
+mod evacuation;
 pub mod fetch;
 mod image;
 mod index;
@@ -32,6 +33,7 @@
 pub use asked::Asked;
 pub use configuration::Configuration;
 pub use encoded::Editions;
+pub use evacuation::Evacuation;
 pub use fetch::Fetch;
 pub use image::{Image, Page, Rows, Unreadable, Update, Versions};
 pub use index::{Index, Sender, Unrouted};
--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -1,6 +1,6 @@
 //! What the request path reads.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
 use crate::directory::{Image, Index, Order, Progress, State, Upstream};
@@ -60,8 +60,10 @@
 pub struct View {
     /// The configuration; `None` before any is known.
     pub index: Option<Arc<Index>>,
-    /// Pools by service.
+    /// Pools by service; upstreams of evacuated zones are in none.
     pub pools: BTreeMap<id::Pool, Pool>,
+    /// Availability zones whose upstreams get no new work.
+    pub evacuated: BTreeSet<id::AvailabilityZone>,
 }
 
 impl View {
@@ -74,10 +76,16 @@
             Some(index) if index.number() == row.value.number => index.clone(),
             _ => Arc::new(Index::new(&row.value)),
         });
+        let evacuations = image.evacuations.rows.values();
+        let evacuated: BTreeSet<_> = evacuations.map(|row| row.value.zone.clone()).collect();
         let mut pools = BTreeMap::<id::Pool, Pool>::new();
         let listed = image.upstreams.rows.values().map(|row| &row.value);
         let listed = listed.filter(|one| !one.is_leaving);
-        for upstream in listed.chain(missing.iter().copied()) {
+        // Left out here, they are out of reach of every choice: of first sends, of retries, of
+        // streams that go on elsewhere, of what proves a new version.
+        let usable = listed.chain(missing.iter().copied());
+        let usable = usable.filter(|one| !evacuated.contains(&one.zone));
+        for upstream in usable {
             let pool = pools
                 .entry(upstream.service.clone())
                 .or_insert_with(|| Pool {
@@ -86,7 +94,11 @@
                 });
             pool.upstreams.push(Arc::new(upstream.clone()));
         }
-        Self { index, pools }
+        Self {
+            index,
+            pools,
+            evacuated,
+        }
     }
 
     /// The upstreams of all services.
--- a/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
@@ -299,6 +299,7 @@
         rows: Rows::Operators {
             configuration: vec![change("config", 4, Some(read.rows["config"].value.clone()))],
             orders: Vec::new(),
+            evacuations: Vec::new(),
         },
         version: Version::new(90),
         now_ms: 0,
--- a/crates/cloverpost-core/tests/behaviour/directory/image.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/image.rs
@@ -19,6 +19,7 @@
         rows: Rows::Operators {
             configuration: vec![change("config", version, Some(configuration(number)))],
             orders: Vec::new(),
+            evacuations: Vec::new(),
         },
         version: Version::new(version),
         now_ms: 0,
@@ -95,6 +96,7 @@
         rows: Rows::Operators {
             configuration: Vec::new(),
             orders: Vec::new(),
+            evacuations: Vec::new(),
         },
         ..operators(9, 1)
     });
--- a/crates/cloverpost-wire/src/frame.rs
+++ b/crates/cloverpost-wire/src/frame.rs
@@ -5,7 +5,7 @@
 use crate::{Error, Message};
 
 /// Version of all frames; raised whenever an existing message changes.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Longest body, in bytes: a whole catalogue fits.
 pub const MAX_BODY_LEN: usize = 1024 * 1024;
 /// Version byte and length of the body.
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -173,6 +173,22 @@
 
     /// Publishes a view of what is believed now.
     pub(super) fn publish(&mut self) {
+        if self.knows_orders() {
+            self.publish_view();
+        }
+        let vms = u32::try_from(self.image.members.rows.len()).unwrap_or(u32::MAX);
+        self.parts.shared.split_budget(vms);
+        self.choose_to_follow();
+    }
+
+    /// Whether the orders of operators have come. The configuration and the upstreams may come
+    /// before them, from other peers; served on those alone, a VM that has just started would
+    /// send work into a zone that is to be empty.
+    fn knows_orders(&self) -> bool {
+        self.image.evacuations.version > directory::Version::default()
+    }
+
+    fn publish_view(&mut self) {
         let shared = &self.parts.shared;
         let last = shared.view.load_full();
         let missing: Vec<_> = self.missing.values().map(|(one, _)| one).collect();
@@ -188,10 +204,9 @@
             .metrics
             .configuration
             .set(i64::try_from(number).unwrap_or(i64::MAX));
+        let evacuated = i64::try_from(view.evacuated.len()).unwrap_or(i64::MAX);
+        shared.metrics.evacuated_zones.set(evacuated);
         shared.publish(view);
-        let vms = u32::try_from(self.image.members.rows.len()).unwrap_or(u32::MAX);
-        shared.split_budget(vms);
-        self.choose_to_follow();
     }
 
     /// Follows the store, or leaves that to VMs of the same availability zone for as
@@ -241,7 +256,7 @@
     pub(super) fn is_informed(&self) -> bool {
         let none = directory::Version::default();
         let image = &self.image;
-        image.configuration.version > none && image.upstreams.version > none
+        image.configuration.version > none && image.upstreams.version > none && self.knows_orders()
     }
 
     /// Whether this VM has just started and does not know yet who may tell it anything: the list
--- a/crates/cloverpost/src/gateway/control/changes.rs
+++ b/crates/cloverpost/src/gateway/control/changes.rs
@@ -13,6 +13,12 @@
     if number(last) != number(view) {
         log::info!(before:? = number(last), now:? = number(view); "configuration in force");
     }
+    for zone in view.evacuated.difference(&last.evacuated) {
+        log::info!(zone = zone.as_str(); "availability zone gets no more work");
+    }
+    for zone in last.evacuated.difference(&view.evacuated) {
+        log::info!(zone = zone.as_str(); "availability zone takes work again");
+    }
     for (service, pool) in &view.pools {
         let before = last.pools.get(service);
         let allowed = before.map(|pool| &pool.allowed);
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -56,6 +56,8 @@
     pub configuration: IntGauge,
     /// Upstreams that take work.
     pub upstreams: IntGauge,
+    /// Availability zones whose upstreams get no new work.
+    pub evacuated_zones: IntGauge,
     /// Images taken over from peers.
     pub told_by_peers: IntCounter,
     /// Questions to peers for newer tables, by result.
@@ -138,6 +140,10 @@
             ),
             configuration: gauge("configuration", "number of the configuration in force"),
             upstreams: gauge("upstreams", "upstreams that take work"),
+            evacuated_zones: gauge(
+                "evacuated_zones",
+                "availability zones whose upstreams get no new work",
+            ),
             told_by_peers: counter("told_by_peers_total", "tables taken over from peers"),
             questions: counters(
                 "control_questions_total",
