feat(cloverpost-core): a cold upstream gets from all VMs together no more than it bears

Cause: upstreams that start, or come back with their zone, are idle and near; every VM sends to them. What entries say of the cold time was decoded and dropped. Change: core::cold. Three VMs, drawn by a hash of upstream and VM, send to a cold upstream, each with an equal part of three quarters of what it bears, for two lists of VMs in use at once, counted over 1.1 s. Cold are: what says so in its entry; what stands in a zone just taken back; what took no connection, from its next answer on. A new version none of whose upstreams admits a send leaves its part to the old one. Without any upstream that may be sent to, the caller is refused at once. Bound on paper (18 a second, 1.5, 5): 32; two lists of three senders at four a second are 24. Ruled out: equal parts for all VMs: 66 VMs would have less than half a request a second each, 630 a twentieth, and no VM can keep such a part without agreeing with others on when.

--- /dev/null
+++ b/crates/cloverpost-core/src/cold/register.rs
@@ -0,0 +1,219 @@
+//! Which upstreams are cold, and what this VM has sent to them.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::cold::{Limit, Options, Senders};
+use crate::directory::{Upstream, View};
+use crate::{id, time};
+
+/// Time over which sends are counted: a second, and what a send may be held up on its way.
+const WINDOW: Duration = Duration::from_millis(1100);
+/// Time for which an upstream that took no connection is left to its senders, unless its entry
+/// shows earlier what it is. One that starts again is listed within a second or two.
+const SUSPECT: Duration = Duration::from_secs(5);
+
+/// How upstreams of one service start.
+#[derive(Clone, Copy, Debug)]
+struct Terms {
+    /// Time for which they are cold.
+    time: Duration,
+    limit: Limit,
+}
+
+/// An upstream that is cold, or may be.
+#[derive(Clone, Debug)]
+struct Cold {
+    until: time::Moment,
+    /// Whether it took no connection and has not answered since.
+    is_suspect: bool,
+    is_sender: bool,
+    upstream: Upstream,
+    /// When this VM sent to it, within the window.
+    sent: VecDeque<time::Moment>,
+}
+
+impl Cold {
+    fn sent_lately(&self, now: time::Moment) -> usize {
+        let sent = self.sent.iter().rev();
+        sent.take_while(|sent| now.since(**sent) < WINDOW).count()
+    }
+}
+
+/// Which upstreams are cold, and what this VM has sent to them.
+#[derive(Clone, Debug)]
+pub struct Register {
+    options: Options,
+    senders: Senders,
+    /// Services whose upstreams start cold.
+    services: HashMap<id::Pool, Terms>,
+    upstreams: HashMap<id::Upstream, Cold>,
+}
+
+impl Register {
+    /// Knows of no cold upstream.
+    #[must_use]
+    pub fn new(options: Options, senders: Senders) -> Self {
+        Self {
+            options,
+            senders,
+            services: HashMap::new(),
+            upstreams: HashMap::new(),
+        }
+    }
+
+    /// Takes in which VMs there are.
+    pub fn set_senders(&mut self, senders: Senders) {
+        self.senders = senders;
+        for cold in self.upstreams.values_mut() {
+            let terms = self.services.get(&cold.upstream.service);
+            cold.is_sender =
+                terms.is_some_and(|one| self.senders.has_own(&cold.upstream, one.limit.senders));
+        }
+    }
+
+    /// Takes in that `view` follows on `last`; the upstreams that are cold by it, and for how long.
+    pub fn note(
+        &mut self,
+        last: &View,
+        view: &View,
+        now: time::Moment,
+    ) -> Vec<(id::Upstream, Duration)> {
+        self.upstreams.retain(|_, cold| now < cold.until + WINDOW);
+        self.learn_services(view);
+        let mut found = Vec::new();
+        for (service, pool) in &view.pools {
+            let Some(terms) = self.services.get(service).copied() else {
+                continue;
+            };
+            let before = last.pools.get(service).into_iter();
+            let before = before.flat_map(|pool| &pool.upstreams);
+            let before: HashMap<_, _> = before.map(|one| (&one.id, one)).collect();
+            for upstream in &pool.upstreams {
+                let known = before.get(&upstream.id);
+                // Its entry may still be that of before: it got cold as the zone was taken back.
+                let is_back = known.is_none() && last.evacuated.contains(&upstream.zone);
+                let is_news = known.is_none_or(|known| {
+                    known.cold != upstream.cold || upstream.is_restart_of(known)
+                });
+                if !is_news {
+                    continue;
+                }
+                let time = if is_back { terms.time } else { Duration::ZERO };
+                let time = time.max(upstream.cold);
+                if self.learn(upstream, time, now) {
+                    found.push((upstream.id.clone(), time));
+                }
+            }
+        }
+        found
+    }
+
+    fn learn_services(&mut self, view: &View) {
+        let index = view.index.as_ref();
+        let services = index.into_iter().flat_map(|index| index.services());
+        let cold = services.filter(|one| !one.cold_time.is_zero());
+        let options = &self.options;
+        let terms = cold.map(|one| {
+            let terms = Terms {
+                time: one.cold_time,
+                limit: Limit::new(one.cold_rate, options),
+            };
+            (one.name.clone(), terms)
+        });
+        self.services = terms.collect();
+    }
+
+    /// Takes in what the entry of `upstream` says; whether it is cold.
+    fn learn(&mut self, upstream: &Upstream, time: Duration, now: time::Moment) -> bool {
+        if time.is_zero() {
+            // What was suspected is settled. What was known ends by itself: an entry may be
+            // older than that.
+            let known = self.upstreams.get(&upstream.id);
+            if known.is_some_and(|cold| cold.is_suspect) {
+                self.upstreams.remove(&upstream.id);
+            }
+            return false;
+        }
+        let cold = self.entry(upstream);
+        cold.until = now + time;
+        cold.is_suspect = false;
+        true
+    }
+
+    /// Notes that `upstream` took no connection, or went silent: it may have started again, and
+    /// is cold then.
+    pub fn suspect(&mut self, upstream: &Upstream, now: time::Moment) {
+        if self.services.contains_key(&upstream.service) {
+            let cold = self.entry(upstream);
+            cold.until = cold.until.max(now + SUSPECT);
+            cold.is_suspect = true;
+        }
+    }
+
+    /// Notes that `upstream` answered. If it had taken no connection before, it has just started.
+    pub fn answered(&mut self, upstream: &id::Upstream, now: time::Moment) {
+        if let Some(cold) = self.upstreams.get_mut(upstream)
+            && cold.is_suspect
+            && let Some(terms) = self.services.get(&cold.upstream.service)
+        {
+            cold.is_suspect = false;
+            cold.until = now + terms.time;
+        }
+    }
+
+    fn entry(&mut self, upstream: &Upstream) -> &mut Cold {
+        let terms = self.services.get(&upstream.service);
+        let senders = terms.map_or(0, |terms| terms.limit.senders);
+        let cold = self.upstreams.entry(upstream.id.clone());
+        cold.or_insert_with(|| Cold {
+            until: time::Moment::default(),
+            is_suspect: false,
+            is_sender: self.senders.has_own(upstream, senders),
+            upstream: upstream.clone(),
+            sent: VecDeque::new(),
+        })
+    }
+
+    /// Whether `upstream` is cold, or may be.
+    #[must_use]
+    pub fn is_cold(&self, upstream: &id::Upstream, now: time::Moment) -> bool {
+        let cold = self.upstreams.get(upstream);
+        cold.is_some_and(|cold| now < cold.until)
+    }
+
+    /// Whether this VM may send to `upstream` now.
+    #[must_use]
+    pub fn admits(&self, upstream: &id::Upstream, now: time::Moment) -> bool {
+        let cold = self.upstreams.get(upstream);
+        cold.is_none_or(|cold| now >= cold.until || cold.is_sender && self.has_part(cold, now))
+    }
+
+    /// Whether this VM may send to `upstream` if no other one takes the request: one that is
+    /// suspected only. Refused while all are, a caller would suffer for a fault of this VM's link.
+    #[must_use]
+    pub fn admits_at_need(&self, upstream: &id::Upstream, now: time::Moment) -> bool {
+        let cold = self.upstreams.get(upstream);
+        cold.is_none_or(|cold| cold.is_suspect && self.has_part(cold, now))
+            || self.admits(upstream, now)
+    }
+
+    fn has_part(&self, cold: &Cold, now: time::Moment) -> bool {
+        let terms = self.services.get(&cold.upstream.service);
+        terms.is_some_and(|terms| cold.sent_lately(now) < terms.limit.each)
+    }
+
+    /// Counts a send to `upstream`.
+    pub fn take(&mut self, upstream: &id::Upstream, now: time::Moment) {
+        if let Some(cold) = self.upstreams.get_mut(upstream) {
+            while cold
+                .sent
+                .front()
+                .is_some_and(|sent| now.since(*sent) >= WINDOW)
+            {
+                cold.sent.pop_front();
+            }
+            cold.sent.push_back(now);
+        }
+    }
+}
--- a/crates/cloverpost-core/src/directory/index.rs
+++ b/crates/cloverpost-core/src/directory/index.rs
@@ -90,6 +90,11 @@
         self.services.get(name)
     }
 
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
     /// The route with the longest prefix of `path` at `host`.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<Route>, Unrouted> {
         let host = host.to_ascii_lowercase();
--- a/crates/cloverpost-core/src/directory/service.rs
+++ b/crates/cloverpost-core/src/directory/service.rs
@@ -1,5 +1,7 @@
 //! Services behind the router.
 
+use std::time::Duration;
+
 use crate::id;
 
 /// A model that a service's upstreams can run.
@@ -22,6 +24,10 @@
     pub max_connections: u32,
     /// Models of a service of engines; empty for a plain service.
     pub models: Vec<Model>,
+    /// Time for which an upstream is cold after its start; 0 if none ever is.
+    pub cold_time: Duration,
+    /// Requests a second that a cold upstream bears, from all VMs together.
+    pub cold_rate: f64,
     /// Tokens that the memory of one engine holds; 0 for a plain service.
     pub memory_tokens: u64,
 }
--- a/crates/cloverpost-core/src/directory/upstream.rs
+++ b/crates/cloverpost-core/src/directory/upstream.rs
@@ -1,6 +1,7 @@
 //! Upstreams, as they register themselves.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use crate::id;
 
@@ -23,6 +24,9 @@
     /// When its process started, in milliseconds of the upstream's clock; `None` where
     /// upstreams don't say. One that starts again under its id has another start.
     pub born_ms: Option<u64>,
+    /// Time for which it was still cold as it registered or last said so. A cold upstream bears
+    /// little and falls over above that.
+    pub cold: Duration,
     /// Whether it is about to leave and takes no new work.
     pub is_leaving: bool,
 }
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod catalogue;
 pub mod choice;
 pub mod claim;
+pub mod cold;
 pub mod directory;
 pub mod dispatch;
 pub mod escalation;
--- a/crates/cloverpost-core/tests/behaviour/balance/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -17,6 +17,7 @@
         version: "v1".parse().unwrap(),
         slots: 8,
         born_ms: None,
+        cold: Duration::ZERO,
         is_leaving: false,
     })
 }
--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/cold/mod.rs
@@ -0,0 +1,222 @@
+//! Upstreams that have just started and bear little.
+
+use std::time::Duration;
+
+use cloverpost_core::cold::{Limit, Options, Register, Senders};
+use cloverpost_core::directory::{
+    Configuration, Evacuation, Image, Member, Row, Service, Size, Upstream, Version, View,
+};
+use cloverpost_core::time;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::directory::upstream;
+
+/// What the upstreams of these tests bear: 18 requests a second, half as many more, and 5.
+const RATE: f64 = 18.0;
+const BOUND: usize = 32;
+const OPTIONS: Options = Options {
+    overage: 1.5,
+    slack: 5.0,
+};
+const COLD_MS: u64 = 3_000;
+const COLD: Duration = Duration::from_millis(COLD_MS);
+
+#[rstest]
+#[case(18.0, 3, 4)]
+#[case(40.0, 3, 8)]
+#[case(2.0, 3, 1)]
+#[case(0.0, 1, 1)]
+fn all_senders_of_two_lists_stay_below_what_an_upstream_bears(
+    #[case] rate: f64,
+    #[case] senders: usize,
+    #[case] each: usize,
+) {
+    assert_eq!(Limit::new(rate, &OPTIONS), Limit { senders, each });
+}
+
+#[test]
+fn an_upstream_that_bears_nothing_gets_nothing() {
+    let limit = Limit::new(0.0, &Options::default());
+    assert_eq!(limit.senders * limit.each, 0);
+}
+
+fn member(number: usize) -> Member {
+    Member {
+        vm: format!("vm-{number}").parse().unwrap(),
+        zone: ["a", "b", "c"][number % 3].parse().unwrap(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        size: Size::default(),
+    }
+}
+
+fn at(millis: u64) -> time::Moment {
+    time::Moment::from_millis(millis)
+}
+
+fn row<T>(value: T) -> Row<T> {
+    Row {
+        version: Version::new(1),
+        value,
+    }
+}
+
+/// A view of upstreams in zone `a`, of which some are cold for a time.
+fn view(upstreams: &[(&str, Duration)], evacuated: bool) -> View {
+    let mut image = Image::default();
+    let service = Service {
+        name: "app".parse().unwrap(),
+        max_connections: 100,
+        cold_time: COLD,
+        cold_rate: RATE,
+        models: Vec::new(),
+        memory_tokens: 0,
+    };
+    let configuration = Configuration {
+        services: vec![service],
+        ..Configuration::default()
+    };
+    image
+        .configuration
+        .rows
+        .insert("config".to_owned(), row(configuration));
+    for (id, cold) in upstreams {
+        let one = Upstream {
+            cold: *cold,
+            ..upstream(id, "v1")
+        };
+        image.upstreams.rows.insert((*id).to_owned(), row(one));
+    }
+    if evacuated {
+        let evacuation = Evacuation {
+            zone: "a".parse().unwrap(),
+        };
+        image
+            .evacuations
+            .rows
+            .insert("a".to_owned(), row(evacuation));
+    }
+    View::new(&image, &[], &View::default())
+}
+
+/// What the VM `number` knows after `views`, one a millisecond, among `members`.
+fn register(number: usize, members: &[Member], views: &[View]) -> Register {
+    let senders = Senders::new(member(number).vm, members.iter());
+    let mut register = Register::new(OPTIONS, senders);
+    let mut last = View::default();
+    for (millis, view) in (0..).zip(views) {
+        register.note(&last, view, at(millis));
+        last = view.clone();
+    }
+    register
+}
+
+/// Most sends in any second, by their times in milliseconds.
+fn most_in_a_second(sent: &[u64]) -> usize {
+    let within = |from: u64| {
+        sent.iter()
+            .filter(move |one| (from..from + 1000).contains(*one))
+    };
+    let counts = sent.iter().map(|from| within(*from).count());
+    counts.max().unwrap_or_default()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// A zone's upstreams come back together. Each VM has more requests than the upstream bears,
+    /// and some go by a list of VMs that lacks the newest ones or still has those that left.
+    #[test]
+    fn whatever_lists_vms_go_by_a_cold_upstream_gets_no_more_than_it_bears(
+        vms in 1_usize..80,
+        lacks in 0_usize..40,
+        paces in prop::collection::vec(3_usize..400, 80),
+    ) {
+        let all: Vec<_> = (0..vms).map(member).collect();
+        let older = &all[..vms - lacks.min(vms - 1)];
+        let cold = view(&[("i-1", COLD)], false);
+        let id = upstream("i-1", "v1").id;
+        let mut sent = Vec::new();
+        for (number, pace) in paces.iter().take(vms).enumerate() {
+            let list = if number % 2 == 0 { &all[..] } else { older };
+            let mut register = register(number, list, std::slice::from_ref(&cold));
+            for millis in (0..COLD_MS).step_by(*pace) {
+                if register.admits(&id, at(millis)) {
+                    register.take(&id, at(millis));
+                    sent.push(millis);
+                }
+            }
+        }
+        prop_assert!(most_in_a_second(&sent) <= BOUND, "{} in a second", most_in_a_second(&sent));
+        prop_assert!(!sent.is_empty(), "nobody sends");
+    }
+}
+
+#[test]
+fn an_upstream_is_warm_once_its_time_is_over() {
+    let register = register(
+        0,
+        &[],
+        &[view(&[("i-1", COLD), ("i-2", Duration::ZERO)], false)],
+    );
+    let (cold, warm) = (upstream("i-1", "v1").id, upstream("i-2", "v1").id);
+    assert!(!register.admits(&cold, at(2_900)));
+    assert!(register.admits(&warm, at(0)));
+    assert!(register.admits(&cold, at(3_000)));
+}
+
+#[test]
+fn upstreams_of_a_zone_that_is_taken_back_count_as_cold() {
+    // Upstreams get cold as their zone is taken back. That stands in another table, and their
+    // entries say it a second later; until then all VMs would send to the idle ones.
+    let warm = [("i-1", Duration::ZERO)];
+    let views = [view(&warm, false), view(&warm, true), view(&warm, false)];
+    let id = upstream("i-1", "v1").id;
+    let register = register(0, &[], &views);
+    assert!(!register.admits(&id, at(100)));
+    assert!(register.admits(&id, at(3_010)));
+}
+
+#[test]
+fn an_upstream_that_took_no_connection_counts_as_cold_from_its_next_answer_on() {
+    // A process crashes and starts again under its id. Every VM that had sent to it tries it again
+    // after a pause, most of them before its new entry reaches them.
+    let members: Vec<_> = (0..9).map(member).collect();
+    let one = upstream("i-1", "v1");
+    let of = |number| {
+        let mut register = register(number, &members, &[view(&[("i-1", Duration::ZERO)], false)]);
+        register.suspect(&one, at(1_000));
+        register
+    };
+    let admitted = (0..9).filter(|number| of(*number).admits(&one.id, at(2_000)));
+    assert_eq!(admitted.count(), 3);
+    let sender = (0..9).find(|number| of(*number).admits(&one.id, at(2_000)));
+    let mut register = of(sender.unwrap());
+    register.answered(&one.id, at(2_000));
+    (0..4).for_each(|_| register.take(&one.id, at(2_001)));
+    assert!(!register.admits(&one.id, at(2_500)));
+    assert!(register.admits(&one.id, at(5_100)));
+}
+
+#[test]
+fn a_suspected_upstream_serves_if_there_is_no_other_and_a_cold_one_does_not() {
+    // The link of one VM breaks, and it takes every upstream for dead. Refused until the
+    // suspicions end, its callers would suffer longer than the fault lasts.
+    let told = register(0, &[], &[view(&[("i-1", COLD)], false)]);
+    let one = upstream("i-1", "v1");
+    assert!(!told.admits_at_need(&one.id, at(1)));
+    let mut register = register(0, &[], &[view(&[("i-1", Duration::ZERO)], false)]);
+    register.suspect(&one, at(1));
+    assert!(!register.admits(&one.id, at(2)));
+    assert!(register.admits_at_need(&one.id, at(2)));
+}
+
+#[test]
+fn an_entry_of_a_new_process_settles_a_suspicion() {
+    let mut register = register(0, &[], &[view(&[("i-1", Duration::ZERO)], false)]);
+    let one = upstream("i-1", "v1");
+    register.suspect(&one, at(1));
+    let last = view(&[], false);
+    register.note(&last, &view(&[("i-1", Duration::ZERO)], false), at(2));
+    assert!(register.admits(&one.id, at(3)));
+}
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -56,6 +56,7 @@
         version: version.parse().unwrap(),
         slots: 4,
         born_ms: None,
+        cold: Duration::ZERO,
         is_leaving: false,
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -7,6 +7,7 @@
 mod catalogue;
 mod choice;
 mod claim;
+mod cold;
 mod directory;
 mod dispatch;
 mod escalation;
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -6,7 +6,7 @@
 use cloverpost_core::directory::{
     Configuration, Member, Page, Unreadable, Update, Upstream, View, watchers,
 };
-use cloverpost_core::{directory, time};
+use cloverpost_core::{cold, directory, time};
 use tokio::sync::watch;
 
 use crate::gateway::codec::Codec;
@@ -178,9 +178,23 @@
         }
         let vms = u32::try_from(self.image.members.rows.len()).unwrap_or(u32::MAX);
         self.parts.shared.split_budget(vms);
+        self.choose_senders();
         self.choose_to_follow();
     }
 
+    /// Takes in which VMs send to cold upstreams, if the list of VMs has changed.
+    fn choose_senders(&mut self) {
+        let members = &self.image.members;
+        if self.senders_as_of == members.changed {
+            return;
+        }
+        self.senders_as_of = members.changed;
+        let own = self.parts.own.vm.clone();
+        let members = members.rows.values().map(|row| &row.value);
+        let senders = cold::Senders::new(own, members);
+        self.parts.shared.cold().set_senders(senders);
+    }
+
     /// Whether the orders of operators have come. The configuration and the upstreams may come
     /// before them, from other peers; served on those alone, a VM that has just started would
     /// send work into a zone that is to be empty.
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -93,6 +93,8 @@
     /// VMs of the zone that asked and are not on the list yet.
     unlisted: HashMap<id::Vm, (Member, time::Moment)>,
     breaker: Breaker,
+    /// Version of the list of VMs by which those are drawn that send to cold upstreams.
+    senders_as_of: Version,
     /// Whether the list of VMs has been read, by this VM or a peer.
     knows_members: bool,
     /// Whether the list of VMs says that this one is to be written to it.
@@ -137,6 +139,7 @@
             told: time::Moment::default(),
             unlisted: HashMap::new(),
             breaker: Breaker::default(),
+            senders_as_of: Version::default(),
             knows_members: false,
             is_unlisted: watch::Sender::new(false),
             follows: watch::Sender::new(false),
--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -4,7 +4,7 @@
 
 use cloverpost_core::balance::Want;
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
-use cloverpost_core::{exposure, id};
+use cloverpost_core::{cold, exposure, id};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -37,7 +37,9 @@
 ) -> Option<Arc<Upstream>> {
     let view = shared.view.load();
     let pool = view.pools.get(&job.service)?;
-    let side = side(shared, job, pool);
+    let now = shared.clock.now();
+    let mut cold = shared.cold();
+    let side = side(shared, job, pool, &cold);
     let settings = shared.settings.load();
     let rate = shared.rate();
     let want = Want {
@@ -49,15 +51,22 @@
         draw: rand::random(),
     };
     drop(rate);
-    let now = shared.clock.now();
-    let usable = pool.upstreams.iter().filter(|one| side.takes(one));
-    let chosen = match proving(shared, job, pool, &side) {
-        Some(proving) => {
-            let proving = usable.filter(|one| proving.contains(&one.id));
-            shared.balance().choose(proving, &want, now).cloned()
-        }
-        None => shared.balance().choose(usable, &want, now).cloned(),
-    }?;
+    let proving = proving(shared, job, pool, &side);
+    let is_proving = |one: &Upstream| proving.as_ref().is_none_or(|ids| ids.contains(&one.id));
+    let usable = || {
+        let upstreams = pool.upstreams.iter().filter(|one| side.takes(one));
+        upstreams.filter(|one| is_proving(one))
+    };
+    let admitted = usable().filter(|one| cold.admits(&one.id, now));
+    let balance = shared.balance();
+    let chosen = balance.choose(admitted, &want, now).or_else(|| {
+        let at_need = usable().filter(|one| cold.admits_at_need(&one.id, now));
+        balance.choose(at_need, &want, now)
+    });
+    drop(balance);
+    let chosen = chosen?.clone();
+    cold.take(&chosen.id, now);
+    drop(cold);
     if let Some(session) = job.asked.session {
         // Noted at all times: a session that began before a roll-out stays where it
         // is through the first half of it.
@@ -168,24 +177,36 @@
     shared.balance().occupancy(upstreams)
 }
 
-fn side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool) -> Side {
+fn side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool, cold: &cold::Register) -> Side {
     match &pool.allowed {
         Allowed::Any => Side::Any,
         Allowed::Only(version) => Side::Only(version.clone()),
         Allowed::Except(version) => Side::Except(version.clone()),
-        Allowed::Rollout(rollout) => rollout_side(shared, job, pool, rollout),
+        Allowed::Rollout(rollout) => rollout_side(shared, job, pool, rollout, cold),
     }
 }
 
 /// The side of a roll-out: the one that the session is on, else by a hash that
 /// is the same on every VM.
-fn rollout_side<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool, rollout: &Rollout) -> Side {
+fn rollout_side<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    pool: &Pool,
+    rollout: &Rollout,
+    cold: &cold::Register,
+) -> Side {
+    let now = shared.clock.now();
     let has = |side: &Side| pool.upstreams.iter().any(|one| side.takes(one));
+    // All upstreams of a new version start cold, and the old ones have room meanwhile.
+    let admits = |side: &Side| {
+        let mut upstreams = pool.upstreams.iter().filter(|one| side.takes(one));
+        upstreams.any(|one| cold.admits(&one.id, now))
+    };
     let new = Side::Only(rollout.target.clone());
     let base = rollout.base.clone().map(Side::Only).filter(has);
     let old = base.unwrap_or_else(|| Side::Except(rollout.target.clone()));
     let is_worse = shared.evidence().is_worse(&job.service, rollout.order);
-    if is_worse || !has(&new) {
+    if is_worse || !has(&new) || !admits(&new) && has(&old) {
         return old;
     }
     if goes_new(shared, job, pool, rollout) || !has(&old) {
--- a/crates/cloverpost/src/gateway/place.rs
+++ b/crates/cloverpost/src/gateway/place.rs
@@ -55,6 +55,11 @@
     pub fn note(&self, event: Event) {
         let now = self.shared.clock.now();
         let is_shunned = self.with_balance(|balance, id| balance.note(id, event, now));
+        match event {
+            Event::Began(_) => self.shared.cold().answered(&self.upstream.id, now),
+            Event::Refused | Event::Silent => self.shared.cold().suspect(&self.upstream, now),
+            _ => {}
+        }
         if is_shunned == Some(true) {
             log::warn!(
                 upstream = self.upstream.id.as_str(), service = self.upstream.service.as_str(), why:? = event;
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -8,7 +8,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cloverpost_core::{balance, directory, escalation, id};
+use cloverpost_core::{balance, cold, directory, escalation, id};
 
 /// Checked settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,6 +43,8 @@
     pub exposure_share: f64,
     /// Requests that it may get on top, over all VMs.
     pub exposure_slack: f64,
+    /// What a cold upstream bears beyond the rate of its service; read at the start only.
+    pub cold: cold::Options,
     /// Weights of the choice between upstreams; read at the start only.
     pub choice: balance::Options,
     /// Weights of the choice between models.
@@ -115,7 +117,7 @@
 const SWITCH: &str = "true or false";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 34] = [
+const NAMES: [&str; 36] = [
     "vm",
     "zone",
     "caller-addr",
@@ -131,6 +133,8 @@
     "retry-slack",
     "exposure-share",
     "exposure-slack",
+    "cold-overage",
+    "cold-slack",
     "choice-home",
     "choice-others",
     "choice-far",
@@ -197,6 +201,7 @@
         let retry_slack = self.count("retry-slack", 10);
         let exposure_share = self.number("exposure-share", 0.1, 1.0, SHARE);
         let exposure_slack = self.number("exposure-slack", 0.0, 1e6, "a number from 0 to 1000000");
+        let cold = self.cold();
         let choice = self.choice();
         let escalation = self.escalation();
         let max_descriptors = self.count("max-descriptors", 1024);
@@ -218,6 +223,7 @@
             retry_slack: retry_slack?,
             exposure_share: exposure_share?,
             exposure_slack: exposure_slack?,
+            cold: cold?,
             choice: choice?,
             escalation: escalation?,
             max_descriptors: max_descriptors?,
@@ -236,6 +242,21 @@
         })
     }
 
+    fn cold(&mut self) -> Option<cold::Options> {
+        let usual = cold::Options::default();
+        let overage = self.number(
+            "cold-overage",
+            usual.overage,
+            100.0,
+            "a number from 0 to 100",
+        );
+        let slack = self.number("cold-slack", usual.slack, 1e6, "a number from 0 to 1000000");
+        Some(cold::Options {
+            overage: overage?,
+            slack: slack?,
+        })
+    }
+
     fn choice(&mut self) -> Option<balance::Options> {
         let usual = balance::Options::default();
         let home = self.number("choice-home", usual.home, 1.0, SHARE);
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
-use cloverpost_core::{balance, budget, directory, escalation, exposure, id, time};
+use cloverpost_core::{balance, budget, cold, directory, escalation, exposure, id, time};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -52,6 +52,7 @@
     pub phase: watch::Sender<Phase>,
     balance: Mutex<balance::Balance>,
     rate: Mutex<balance::Rate>,
+    cold: Mutex<cold::Register>,
     sizes: Mutex<escalation::Sizes>,
     returns: Mutex<escalation::Returns>,
     /// Processes behind the ids of upstreams.
@@ -80,6 +81,8 @@
             process: id::Process::new(rand::random()),
         };
         let balance = balance::Balance::new(settings.choice);
+        let senders = cold::Senders::new(settings.vm.clone(), std::iter::empty());
+        let cold = cold::Register::new(settings.cold, senders);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -91,6 +94,7 @@
             phase: watch::Sender::new(Phase::Serving),
             balance: Mutex::new(balance),
             rate: Mutex::default(),
+            cold: Mutex::new(cold),
             sizes: Mutex::default(),
             returns: Mutex::default(),
             processes: Mutex::default(),
@@ -114,6 +118,11 @@
         lock(&self.rate)
     }
 
+    /// Which upstreams are cold, and what this VM has sent to them.
+    pub fn cold(&self) -> MutexGuard<'_, cold::Register> {
+        lock(&self.cold)
+    }
+
     /// Usual sizes of requests by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
@@ -218,6 +227,11 @@
             );
             self.restart(&upstream.id);
         }
+        let last = self.view.load();
+        for (upstream, time) in self.cold().note(&last, &view, self.clock.now()) {
+            let cold_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+            log::info!(upstream = upstream.as_str(), cold_ms; "upstream is cold and gets little work");
+        }
         let is_routable = view.index.is_some() && !view.pools.is_empty();
         self.view.store(Arc::new(view));
         self.is_routable.send_if_modified(|was| {
