fix(cloverpost-core): a roll-out ends by its order's time, not by when it was taken up

Change: the time counts from when the order was learnt; half a second is kept for news, of which the second quarter only moves the completion: the new version has everything by then, so that what it gets before the deadline stays the same. Test: a_roll_out_that_was_taken_up_late_ends_as_early_as_another.

--- a/crates/cloverpost-core/src/directory/rollout.rs
+++ b/crates/cloverpost-core/src/directory/rollout.rs
@@ -46,6 +46,9 @@
     /// Reading of the store's clock when the first VM took up the order, in
     /// milliseconds.
     pub started_ms: u64,
+    /// The same when that VM had learnt of the order, from which its time counts. It leaves the
+    /// start to others first, for half a second and more if they are gone.
+    pub ordered_ms: u64,
 }
 
 impl Progress {
--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -30,6 +30,8 @@
     pub target: id::Version,
     /// Reading of the store's clock at its start, in milliseconds.
     pub started_ms: u64,
+    /// The same when its order was learnt of.
+    pub ordered_ms: u64,
     /// Time within which it is to be done, in milliseconds.
     pub duration_ms: u64,
 }
@@ -156,6 +158,7 @@
             base: progress.base.clone(),
             target: progress.target.clone(),
             started_ms: progress.started_ms,
+            ordered_ms: progress.ordered_ms,
             duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
         }),
     }
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -19,6 +19,7 @@
         order: Version::new(7),
         target: "v2".parse().unwrap(),
         started_ms: 50_000,
+        ordered_ms: 50_000,
         duration_ms: 20_000,
     }
 }
@@ -320,3 +321,19 @@
     assert!(known.len() <= 4096, "{}", known.len());
     assert!(known.contains(&99_999));
 }
+
+#[test]
+fn a_roll_out_that_was_taken_up_late_ends_as_early_as_another() {
+    // The VMs that come first are dead as the order comes, and the next one leaves them their
+    // time. An operator's time runs from the order: counted from the start, the end would come
+    // half a second after it. Sessions are noted from the start on all the same.
+    let late = Rollout {
+        started_ms: 50_700,
+        ..rollout()
+    };
+    let at = |now_ms| stage(&late, now_ms, ALLOWED, GAP);
+    assert!(!at(68_900).may_complete(0.0));
+    assert!(at(69_000).may_complete(0.0));
+    assert!(at(55_650).is_watching);
+    assert!(!at(55_700).is_watching);
+}
--- a/crates/cloverpost/src/gateway/control/writes.rs
+++ b/crates/cloverpost/src/gateway/control/writes.rs
@@ -60,14 +60,20 @@
     }
 
     /// Those of `steps` that may be tried now; they count as under way.
-    pub fn begin(&mut self, mut steps: Vec<Step>, now: time::Moment) -> Vec<Step> {
-        steps.retain(|step| self.has_waited(step, now) && self.is_due(step, now));
-        self.is_writing = !steps.is_empty();
-        steps
+    pub fn begin(&mut self, steps: Vec<Step>, now: time::Moment) -> Vec<Step> {
+        let mut taken = Vec::new();
+        for step in steps {
+            let waited = self.waited(&step, now);
+            if waited >= step.waits && self.is_due(&step, now) {
+                taken.push(step.taken_after(waited));
+            }
+        }
+        self.is_writing = !taken.is_empty();
+        taken
     }
 
-    /// Whether others have had their time for `step`.
-    fn has_waited(&mut self, step: &Step, now: time::Moment) -> bool {
+    /// Time for which `step` has been left to others.
+    fn waited(&mut self, step: &Step, now: time::Moment) -> Duration {
         let service = &step.progress.service;
         if !self.left.get(service).is_some_and(|left| left.is(step)) {
             let left = Left {
@@ -77,9 +83,8 @@
             };
             self.left.insert(service.clone(), left);
         }
-        self.left
-            .get(service)
-            .is_some_and(|left| now.since(left.since) >= step.waits)
+        let left = self.left.get(service);
+        left.map_or(Duration::ZERO, |left| now.since(left.since))
     }
 
     fn is_due(&self, step: &Step, now: time::Moment) -> bool {
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -107,6 +107,20 @@
         base: directory::base(image, order),
         order: version,
         started_ms: now_ms,
+        ordered_ms: now_ms,
+    }
+}
+
+impl Step {
+    /// The step after it was left to other VMs for `waited`. The time of a roll-out counts from
+    /// its order: from this VM's turn on, it would end that much too late.
+    pub fn taken_after(mut self, waited: Duration) -> Self {
+        if self.progress.state == State::InProgress {
+            let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+            let progress = &mut self.progress;
+            progress.ordered_ms = progress.started_ms.saturating_sub(waited_ms);
+        }
+        self
     }
 }
 
@@ -126,6 +140,7 @@
         base: current.base.clone(),
         target: order.target.clone(),
         started_ms: current.started_ms,
+        ordered_ms: current.ordered_ms,
         duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
     };
     let stage = shared.stage(&rollout);
