feat(cloverpost): callers of cold upstreams hear how long these stay cold

Cause: with every upstream of a service cold, a caller beyond what they bear was told to come back after 0.2 to 0.6 s; they stay cold for up to 3 s, and a caller has one retry. Change: the refusal says the time until the first of them is warm, and the spread on top. The line that tells of a refusal says how many upstreams of the service are cold and how many zones empty.

--- a/crates/cloverpost-core/src/cold/register.rs
+++ b/crates/cloverpost-core/src/cold/register.rs
@@ -198,6 +198,13 @@
             || self.admits(upstream, now)
     }
 
+    /// Time until `upstream` is warm; 0 if it is.
+    #[must_use]
+    pub fn warm_after(&self, upstream: &id::Upstream, now: time::Moment) -> Duration {
+        let cold = self.upstreams.get(upstream);
+        cold.map_or(Duration::ZERO, |cold| cold.until.since(now))
+    }
+
     fn has_part(&self, cold: &Cold, now: time::Moment) -> bool {
         let terms = self.services.get(&cold.upstream.service);
         terms.is_some_and(|terms| cold.sent_lately(now) < terms.limit.each)
--- a/crates/cloverpost-core/src/refusal.rs
+++ b/crates/cloverpost-core/src/refusal.rs
@@ -22,6 +22,8 @@
     pub message: String,
     /// When a retry may help.
     pub retry_after: Option<Duration>,
+    /// Time until the shortage behind it ends, where that is known.
+    pub opens_after: Option<Duration>,
 }
 
 impl Refusal {
@@ -33,6 +35,7 @@
             ran: Ran::No,
             message: message.into(),
             retry_after: code.retry_after(),
+            opens_after: None,
         }
     }
 
--- a/crates/cloverpost/src/gateway/answer.rs
+++ b/crates/cloverpost/src/gateway/answer.rs
@@ -35,7 +35,8 @@
         HeaderValue::from_static("application/json"),
     );
     if refusal.ran == Ran::No && refusal.code.retry_after().is_some() {
-        let seconds = rand::random_range(COME_BACK..COME_BACK_MOST);
+        let opens_after = refusal.opens_after.unwrap_or_default().as_secs_f64();
+        let seconds = opens_after + rand::random_range(COME_BACK..COME_BACK_MOST);
         if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
             headers.insert(header::RETRY_AFTER, value);
         }
--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -4,6 +4,8 @@
 
 use cloverpost_core::balance::Want;
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
+use cloverpost_core::dispatch::Dispatch;
+use cloverpost_core::refusal::Refusal;
 use cloverpost_core::{cold, exposure, id};
 
 use crate::gateway::Shared;
@@ -169,6 +171,31 @@
     shared.tallies().tally(&key, open_old)
 }
 
+/// The refusal of `job`, for which no upstream is left. Of cold ones the caller is told how long
+/// they stay so: sent back sooner, it would spend its retry on another refusal.
+pub fn no_upstream<C: Codec>(shared: &Shared<C>, job: &Job, dispatch: &Dispatch) -> Refusal {
+    let view = shared.view.load();
+    let now = shared.clock.now();
+    let cold = shared.cold();
+    let pool = view.pools.get(&job.service).into_iter();
+    let waits = pool.flat_map(|pool| &pool.upstreams);
+    let waits = waits.map(|one| cold.warm_after(&one.id, now));
+    Refusal {
+        opens_after: waits.min().filter(|wait| !wait.is_zero()),
+        ..dispatch.no_upstream()
+    }
+}
+
+/// Upstreams of `service` that are cold, or may be.
+pub fn cold_upstreams<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> usize {
+    let view = shared.view.load();
+    let now = shared.clock.now();
+    let cold = shared.cold();
+    let upstreams = view.pools.get(service).into_iter();
+    let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
+    upstreams.filter(|one| cold.is_cold(&one.id, now)).count()
+}
+
 /// Places that are taken and that there are on the upstreams of `service`.
 pub fn occupancy<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> (u32, u32) {
     let view = shared.view.load();
--- a/crates/cloverpost/src/gateway/plain.rs
+++ b/crates/cloverpost/src/gateway/plain.rs
@@ -53,7 +53,7 @@
             .or_else(|| pick::upstream(shared, job, None, &[]));
         let Some(upstream) = picked else {
             return failed.map_or_else(
-                || Outcome::Refused(dispatch.no_upstream()),
+                || Outcome::Refused(pick::no_upstream(shared, job, &dispatch)),
                 Outcome::Answered,
             );
         };
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -235,9 +235,11 @@
 
 fn note_refusal<C: Codec>(shared: &Shared<C>, job: &Job, refusal: &Refusal, whole: &Whole) {
     let (taken, places) = pick::occupancy(shared, &job.service);
+    let cold = pick::cold_upstreams(shared, &job.service);
+    let evacuated = shared.view.load().evacuated.len();
     log::info!(
         id = job.asked.id.as_str(), code = refusal.code.as_str(), ran:% = refusal.ran,
-        why = refusal.message.as_str(), service = job.service.as_str(), taken, places;
+        why = refusal.message.as_str(), service = job.service.as_str(), taken, places, cold, evacuated;
         "no upstream answered"
     );
     note_job(shared, job, refusal.code.as_str(), whole);
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -38,7 +38,10 @@
             .or_else(|| pick::upstream(shared, &job, model.as_ref(), &failing))
             .or_else(|| pick::upstream(shared, &job, model.as_ref(), &[]));
         let Some(upstream) = picked else {
-            return failed.map_or_else(|| Start::Refused(dispatch.no_upstream()), Start::Failed);
+            return failed.map_or_else(
+                || Start::Refused(pick::no_upstream(shared, &job, &dispatch)),
+                Start::Failed,
+            );
         };
         tried.push(upstream.id.clone());
         let terms = Terms {
