fix(cloverpost): only as the store comes back is an order taken for older than it looks

Change: 0.3 s are taken off only by a VM that knows the store to have come back in the last 2.2 s, which peers tell each other; then connections are opened anew and tables read whole.

--- a/crates/cloverpost-core/src/exposure/stage.rs
+++ b/crates/cloverpost-core/src/exposure/stage.rs
@@ -22,10 +22,6 @@
 /// Time that the order has stood, usually, when a VM learns of it: the pause between two
 /// readings of its feed, and a peer's word.
 const ORDER_LAG_MS: u64 = 250;
-/// Time by which it may have stood longer: a connection to the store that has to be opened anew,
-/// and the next tick. The roll-out is completed that much earlier; the new version gets everything
-/// by then anyway, and no more than before.
-const LATE_ORDER_MS: u64 = 250;
 /// Least share of the first stage; with less nothing would be learnt.
 const LEAST: f64 = 0.02;
 
@@ -41,8 +37,6 @@
     pub is_last_call: bool,
     allowance: Allowance,
     part: f64,
-    /// Part of the time by which the order may be older than it looks.
-    late: f64,
 }
 
 impl Stage {
@@ -50,7 +44,7 @@
     /// the time to others.
     #[must_use]
     pub fn may_complete(&self, waits: f64) -> bool {
-        self.part + self.late >= 1.0 - self.allowance.share * COMPLETE + waits
+        self.part >= 1.0 - self.allowance.share * COMPLETE + waits
     }
 
     /// Share of the sessions that go to the new version on a VM that has sent what
@@ -105,20 +99,15 @@
     let part_since = |from_ms| now_ms.saturating_sub(from_ms) as f64 / duration_ms as f64;
     let part = part_since(rollout.ordered_ms);
     #[allow(clippy::cast_precision_loss)] // as above
-    let (late, gap) = (
-        LATE_ORDER_MS as f64 / duration_ms as f64,
-        gap.as_secs_f64() * 1000.0 / duration_ms as f64,
-    );
-    let watch = gap.min(HALF);
+    let watch = (gap.as_secs_f64() * 1000.0 / duration_ms as f64).min(HALF);
     let allowed = allowance.share;
     let last = (allowed * LAST_STAGE).min(HALF);
     let first_share = (allowed - last - SPARE) / (1.0 - last - watch).max(LEAST);
     Stage {
         first_share: first_share.clamp(LEAST, allowed.max(LEAST)),
         is_watching: part_since(rollout.started_ms) < watch,
-        is_last_call: part + late >= 1.0 - allowed * LAST_CALL,
+        is_last_call: part >= 1.0 - allowed * LAST_CALL,
         allowance,
         part,
-        late,
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -332,8 +332,8 @@
         ..rollout()
     };
     let at = |now_ms| stage(&late, now_ms, ALLOWED, GAP);
-    assert!(!at(68_900).may_complete(0.0));
-    assert!(at(69_000).may_complete(0.0));
+    assert!(!at(69_000).may_complete(0.0));
+    assert!(at(69_300).may_complete(0.0));
     assert!(at(55_650).is_watching);
     assert!(!at(55_700).is_watching);
 }
--- a/crates/cloverpost/src/gateway/control/duties.rs
+++ b/crates/cloverpost/src/gateway/control/duties.rs
@@ -21,6 +21,9 @@
 /// Time between messages to the VMs that judge a roll-out; its last stage lasts a
 /// second or two, in which they must see what it shows.
 const EVIDENCE: Duration = Duration::from_millis(100);
+/// Time by which news are later than usual as the store comes back: connections to it are opened
+/// anew, and tables read whole.
+const LATE_NEWS: Duration = Duration::from_millis(300);
 /// Time without news from the store after which peers are asked.
 const STALE: Duration = Duration::from_secs(4);
 /// First pause after a write of this VM's row that failed; doubled up to [`LIST_PAUSE_MOST`].
@@ -77,7 +80,9 @@
         if self.writes.are_under_way() || self.lost.contains_key(&Topic::Operators) {
             return;
         }
-        let steps = rollouts::steps(&self.parts.shared, &self.image);
+        let is_back = self.returned_ago().is_some();
+        let late = if is_back { LATE_NEWS } else { Duration::ZERO };
+        let steps = rollouts::steps(&self.parts.shared, &self.image, late);
         let steps = self.writes.begin(steps, self.now());
         if steps.is_empty() {
             return;
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -45,11 +45,11 @@
     })
 }
 
-/// The writes that are due now.
-pub fn steps<C: Codec>(shared: &Shared<C>, image: &Image) -> Vec<Step> {
+/// The writes that are due now; an order that is news may have stood for `late`.
+pub fn steps<C: Codec>(shared: &Shared<C>, image: &Image, late: Duration) -> Vec<Step> {
     let orders = image.orders.rows.values();
     orders
-        .filter_map(|row| step(shared, image, &row.value, row.version))
+        .filter_map(|row| step(shared, image, &row.value, row.version, late))
         .collect()
 }
 
@@ -58,6 +58,7 @@
     image: &Image,
     order: &Order,
     version: Version,
+    late: Duration,
 ) -> Option<Step> {
     let row = image.progress.rows.get(order.service.as_str());
     let expected = row.map_or(Version::default(), |row| row.version);
@@ -70,7 +71,7 @@
     };
     let Some(current) = current else {
         return Some(Step {
-            progress: begin(image, order, version, shared.store_now_ms()),
+            progress: begin(image, order, version, shared.store_now_ms(), late),
             expected,
             waits: waits(),
             why: "ordered",
@@ -99,7 +100,8 @@
     })
 }
 
-fn begin(image: &Image, order: &Order, version: Version, now_ms: u64) -> Progress {
+fn begin(image: &Image, order: &Order, version: Version, now_ms: u64, late: Duration) -> Progress {
+    let late_ms = u64::try_from(late.as_millis()).unwrap_or(u64::MAX);
     Progress {
         service: order.service.clone(),
         target: order.target.clone(),
@@ -107,7 +109,7 @@
         base: directory::base(image, order),
         order: version,
         started_ms: now_ms,
-        ordered_ms: now_ms,
+        ordered_ms: now_ms.saturating_sub(late_ms),
     }
 }
 
@@ -118,7 +120,7 @@
         if self.progress.state == State::InProgress {
             let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
             let progress = &mut self.progress;
-            progress.ordered_ms = progress.started_ms.saturating_sub(waited_ms);
+            progress.ordered_ms = progress.ordered_ms.saturating_sub(waited_ms);
         }
         self
     }
