fix(cloverpost): the return of a VM that was cut off is not the store's

Four VMs that had been cut off took the end of that for the store's return and said so; all others, which had heard from the store all along, believed it, and kept the entry that went in that moment for 2.2 s. All 13 VMs let go of it between 26.915 and 27.026 s, 2.05 s and more after 24.866. Change: a peer's word of a return counts only for a VM that does not hear from the store itself and had no word of it for 0.7 s within the last 2.2 s.

--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -19,13 +19,15 @@
 /// still used. Their entries lapse while the store is away; those that live are
 /// back within about two seconds.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// Time without word of the store that may be an outage: two messages of a watcher are overdue.
+const SILENCE: Duration = Duration::from_millis(700);
 /// Unreadable rows that are remembered at most, so that each is told once; 200 bytes each.
 const MOST_UNREADABLE: usize = 1000;
 
 impl<C: Codec, S: Store> State<C, S> {
     pub(super) fn learn(&mut self, topic: Topic, page: Page, whole: bool) {
         let now = self.now();
-        self.heard = now;
+        self.note_word(now);
         self.answered = now;
         self.parts.shared.set_store_now_ms(page.now_ms);
         self.note_unreadable(topic, &page.unreadable);
@@ -104,6 +106,31 @@
         }
     }
 
+    /// Notes word of the store, its own or that of a peer which hears from it.
+    pub(super) fn note_word(&mut self, now: time::Moment) {
+        if now.since(self.heard) > SILENCE {
+            self.resumed = Some(now);
+        }
+        self.heard = now;
+    }
+
+    /// Whether there was no word of the store lately, so that it may have been away.
+    ///
+    /// A VM that was cut off takes the end of that for the store's return, and says so. Believed
+    /// by those that had heard from the store all along, an upstream that left in that moment was
+    /// used for 2.2 s more by every VM.
+    fn missed_word(&self, now: time::Moment) -> bool {
+        // Its own calls wait for changes, and are answered seconds later while there is none.
+        if self.hears() {
+            return false;
+        }
+        let is_silent = now.since(self.heard) > SILENCE;
+        is_silent
+            || self
+                .resumed
+                .is_some_and(|resumed| now < resumed + RETURN_GRACE)
+    }
+
     /// Time since the store came back, while entries may be missing from it.
     pub(super) fn returned_ago(&self) -> Option<Duration> {
         let ago = self.now().since(self.returned?);
@@ -129,7 +156,9 @@
             // patient, and as a whole site starts again each of them would read it as well.
             self.note_fresh(peer);
         }
-        if let Some(ago) = update.returned {
+        if let Some(ago) = update.returned
+            && self.missed_word(now)
+        {
             let returned = time::Moment::new(now.since_start().saturating_sub(ago));
             self.returned = self.returned.max(Some(returned));
         }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -73,6 +73,8 @@
     answered: time::Moment,
     /// When the store last answered, or a peer that hears from it last said so.
     heard: time::Moment,
+    /// When such word last came after a time without any.
+    resumed: Option<time::Moment>,
     swept: time::Moment,
     shared_evidence: time::Moment,
     asked: time::Moment,
@@ -125,6 +127,7 @@
             returned: None,
             answered: time::Moment::default(),
             heard: time::Moment::default(),
+            resumed: None,
             swept: time::Moment::default(),
             shared_evidence: time::Moment::default(),
             asked: time::Moment::default(),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -79,7 +79,7 @@
     /// one says does not count: each would leave the store to the other.
     pub(super) fn note_fresh(&mut self, from: &Member) {
         let now = self.now();
-        self.heard = now;
+        self.note_word(now);
         let members = &self.image.members;
         let listed = members.rows.get(from.vm.as_str()).map(|row| &row.value);
         let is_before =
