--- a/crates/cloverpost-core/src/balance/rate.rs
+++ b/crates/cloverpost-core/src/balance/rate.rs
@@ -16,9 +16,11 @@
 /// Shortest prompt that tells something, in tokens.
 const LEAST: u32 = 500;
 
-/// Seconds for a generated token until something is learnt: that of a large model. Taken
-/// for faster, it would be asked where its answer can't end in time.
-const PACE_START: f64 = 0.012;
+/// Seconds for a generated token until something is learnt: that of a large model on an engine
+/// with room. Taken for slower, no long answer is asked of it for the seconds that a VM needs to
+/// learn better, and those are worth most; taken for faster, it would be asked where its answer
+/// can't end in time.
+const PACE_START: f64 = 0.008;
 /// Bounds of what is believed of a model, in seconds for a generated token.
 const PACE_BOUNDS: (f64, f64) = (0.000_1, 0.2);
 /// Fewest tokens of an answer that tell something of the pace.
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -72,11 +72,19 @@
         self.tokens.map_or(parts, |tokens| tokens.prompt)
     }
 
-    /// Tokens that the answer is likely to have.
+    /// Tokens that the answer is likely to have. Callers guess, and some guess more than they
+    /// let it have.
     #[must_use]
     pub fn generated_tokens(&self) -> u32 {
-        let most = self.tokens.map(|tokens| tokens.generated);
-        self.expected.or(most).unwrap_or_default()
+        let most = self.most_tokens();
+        let expected = self.expected.or(most).unwrap_or_default();
+        most.map_or(expected, |most| expected.min(most))
+    }
+
+    /// Tokens that the answer has at most, if the caller says so.
+    #[must_use]
+    pub fn most_tokens(&self) -> Option<u32> {
+        self.tokens.map(|tokens| tokens.generated)
     }
 
     /// Tokens at the start of the prompt that other requests share.
--- a/crates/cloverpost/src/gateway/stream/escalate.rs
+++ b/crates/cloverpost/src/gateway/stream/escalate.rs
@@ -42,10 +42,13 @@
     if model == Some(largest) || !dispatch.has_run_left() {
         return None;
     }
+    let settings = shared.settings.load();
+    let options = &settings.escalation;
     let elapsed = shared.clock.now().since(job.started);
     let lasts = lasts(shared, job, largest);
+    let longest = longest(shared, job, largest);
     let begins = reads(shared, job, Some(largest)) + BEGIN;
-    if is_return(shared, job) || !is_in_time(job, elapsed, begins, lasts) {
+    if is_return(shared, job) || !is_in_time(job, elapsed, begins, longest) {
         return None;
     }
     let case = escalation::Case {
@@ -57,7 +60,7 @@
         delay: delay(shared, job, model, elapsed),
         target: job.route.target_latency,
     };
-    let weighed = escalation::weigh(&case, &shared.settings.load().escalation);
+    let weighed = escalation::weigh(&case, options);
     let asks = weighed.is_worth_it() && shared.may_repeat(&job.service);
     log::info!(
         id = job.asked.id.as_str(), confidence, gain = weighed.gain, cost = weighed.cost,
@@ -72,14 +75,14 @@
     Some(largest.clone())
 }
 
-/// Whether an answer that begins after `begins` and then lasts for `lasts` would begin
+/// Whether an answer that begins after `begins` and then lasts for `longest` would begin
 /// within the target latency and end while its caller still waits. A caller that comes
 /// back after a connection was lost has little time left, and gets the small answer
 /// whole rather than the large one in part.
-fn is_in_time(job: &Job, elapsed: Duration, begins: Duration, lasts: Duration) -> bool {
+fn is_in_time(job: &Job, elapsed: Duration, begins: Duration, longest: Duration) -> bool {
     let target = job.route.target_latency;
     let patience = job.ends.since(job.started);
-    let ends = elapsed + begins + lasts * LONGER;
+    let ends = elapsed + begins + longest;
     elapsed < target.mul_f64(WITHIN) && elapsed + begins < target && ends < patience
 }
 
@@ -113,6 +116,13 @@
     shared.rate().lasts(Some(model), tokens)
 }
 
+/// Time that its answer may take: callers guess the length, and say how long it is at most.
+fn longest<C: Codec>(shared: &Shared<C>, job: &Job, model: &id::Model) -> Duration {
+    let guessed = job.asked.generated_tokens().saturating_mul(LONGER);
+    let most = job.asked.most_tokens().unwrap_or(u32::MAX);
+    shared.rate().lasts(Some(model), guessed.min(most))
+}
+
 /// Worth of the answer against the usual one of its route.
 fn relative_size<C: Codec>(shared: &Shared<C>, job: &Job) -> f64 {
     shared.sizes().relative(&job.route.name, size(&job.asked))
