feat(cloverpost-core): what an answer is worth goes by the usual size of its route and its rank

Both are settings. escalation-top-worth is gone. A brief may cost more than a summary that ranks before it (new).

--- a/crates/cloverpost-core/src/escalation/case.rs
+++ b/crates/cloverpost-core/src/escalation/case.rs
@@ -9,6 +9,8 @@
     pub confidence: u8,
     /// Rank of the route; 0 is first.
     pub rank: u8,
+    /// Usual size of requests of its route.
+    pub usual_size: f64,
     /// Its size against the usual one of its route.
     pub relative_size: f64,
     /// What the larger model's answer costs, in the catalogue's unit.
--- a/crates/cloverpost-core/src/escalation/options.rs
+++ b/crates/cloverpost-core/src/escalation/options.rs
@@ -4,11 +4,12 @@
 /// worth and prices that three deployments state, and from plays of their days.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
-    /// Worth of a right answer on a route of rank 0, in the unit of models' prices. Three
-    /// deployments state 5.3 to 6.3.
-    pub top_worth: f64,
-    /// Worth of a right answer against one of the rank before. Stated are 0.21 to 0.27, and
-    /// more weight on the worst-served kind of request.
+    /// Worth of a right answer on a route of rank 0, in the unit of models' prices, for each 1,000
+    /// of the usual size of the route's requests: tokens read, and ten for each generated. Rank
+    /// alone does not do: where short summaries rank before long briefs, operators state a fourth
+    /// of the briefs' worth for them.
+    pub size_worth: f64,
+    /// Worth of a right answer against one of the same size of the rank before.
     pub rank_part: f64,
     /// Opinion at which half the answers are wrong. On quiet days the credit grew by the
     /// whole worth of each answer asked again below 40, and no more above 60.
@@ -27,8 +28,8 @@
 impl Default for Options {
     fn default() -> Self {
         Self {
-            top_worth: 5.5,
-            rank_part: 0.3,
+            size_worth: 0.4,
+            rank_part: 0.6,
             even: 46.0,
             spread: 5.0,
             price_weight: 0.8,
--- a/crates/cloverpost-core/src/escalation/sizes.rs
+++ b/crates/cloverpost-core/src/escalation/sizes.rs
@@ -10,6 +10,8 @@
 /// Bounds of a size against the usual one. Answers to larger requests are worth no more
 /// than four times the usual.
 const BOUNDS: (f64, f64) = (0.3, 4.0);
+/// Size that is taken for usual where callers state none, in tokens: that of a summary.
+const UNSTATED: f64 = 4_000.0;
 /// Worth of a request however small it is, against the usual one.
 const LEAST: f64 = 0.3;
 
@@ -20,6 +22,12 @@
 }
 
 impl Sizes {
+    /// Mean size of the requests of `route`.
+    #[must_use]
+    pub fn usual(&self, route: &id::Entry) -> f64 {
+        self.means.get(route).copied().unwrap_or(UNSTATED)
+    }
+
     /// Takes in a request of `size` tokens on `route`; its worth against the usual one,
     /// which grows with its size.
     pub fn relative(&mut self, route: &id::Entry, size: f64) -> f64 {
--- a/crates/cloverpost-core/src/escalation/weighed.rs
+++ b/crates/cloverpost-core/src/escalation/weighed.rs
@@ -27,8 +27,7 @@
 /// Weighs a larger model's answer for `case`.
 #[must_use]
 pub fn weigh(case: &Case, options: &Options) -> Weighed {
-    let worth = options.top_worth * options.rank_part.powi(i32::from(case.rank));
-    let worth = worth * case.relative_size;
+    let worth = worth(case.rank, case.usual_size, case.relative_size, options);
     let target = case.target.as_secs_f64().max(f64::MIN_POSITIVE);
     let delay = case.delay.as_secs_f64() / target;
     let lasts = case.lasts.as_secs_f64();
@@ -39,6 +38,12 @@
     }
 }
 
+/// Worth of a right answer.
+fn worth(rank: u8, usual_size: f64, relative_size: f64, options: &Options) -> f64 {
+    let usual = options.size_worth * usual_size / 1000.0;
+    usual * options.rank_part.powi(i32::from(rank)) * relative_size
+}
+
 /// Chance that an answer is wrong of which its model has this opinion.
 fn wrong(confidence: u8, options: &Options) -> f64 {
     let above = (f64::from(confidence) - options.even) / options.spread;
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -143,7 +143,7 @@
     "choice-failing",
     "choice-slow",
     "choice-spread",
-    "escalation-top-worth",
+    "escalation-size-worth",
     "escalation-rank-part",
     "escalation-even",
     "escalation-spread",
@@ -282,7 +282,6 @@
 
     fn escalation(&mut self) -> Option<escalation::Options> {
         let usual = escalation::Options::default();
-        let top_worth = self.number("escalation-top-worth", usual.top_worth, 1e6, WORTH);
         let rank_part = self.number("escalation-rank-part", usual.rank_part, 1.0, SHARE);
         let even = self.number("escalation-even", usual.even, 100.0, OPINION);
         let spread = self.number("escalation-spread", usual.spread, 100.0, OPINION);
@@ -304,8 +303,9 @@
             1000.0,
             WEIGHT,
         );
+        let size_worth = self.number("escalation-size-worth", usual.size_worth, 1e6, WORTH);
         Some(escalation::Options {
-            top_worth: top_worth?,
+            size_worth: size_worth?,
             rank_part: rank_part?,
             even: even?,
             // Opinions that tell nothing apart would divide by zero.
--- a/crates/cloverpost/src/gateway/stream/escalate.rs
+++ b/crates/cloverpost/src/gateway/stream/escalate.rs
@@ -51,10 +51,12 @@
     if is_return(shared, job) || !is_in_time(job, elapsed, begins, longest) {
         return None;
     }
+    let usual_size = shared.sizes().usual(&job.route.name);
     let case = escalation::Case {
         confidence,
         rank: job.route.priority,
         relative_size: relative_size(shared, job),
+        usual_size,
         price: price(shared, job, largest),
         lasts,
         delay: delay(shared, job, model, elapsed),
