--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -166,6 +166,7 @@
                 keeper: myself.clone(),
                 metrics: state.parts.shared.metrics.clone(),
                 breaker: state.breaker.clone(),
+                leave: state.parts.shared.settings.load().leave,
             };
             tokio::spawn(follower.run(wanted));
         }
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -12,6 +12,12 @@
 use crate::gateway::metrics::Metrics;
 use crate::gateway::store::{Error, Store, Topic};
 
+/// Time that news of an upstream that leaves may take after they were read, of that within which it
+/// must get no more work: word to the VMs that listen, their question, and a call that fails.
+const NEWS_MS: u64 = 1400;
+/// Shortest pause between readings of the upstreams.
+const LEAST_PAUSE_MS: u64 = 800;
+
 /// How a topic is followed.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -26,13 +32,19 @@
 
 /// Each call is paid for, and a table that changes all the time answers at once:
 /// the pauses bound the calls. They are well within the two seconds in which
-/// changes have to be in force and leaving upstreams left alone. Tables that grow with the site
+/// changes have to be in force and leaving upstreams left alone; where operators allow more time
+/// for the latter, upstreams are read less often. Tables that grow with the site
 /// are read whole a third as often as the operators': bytes are paid for too, and with 3,000
 /// upstreams they were the largest price of a day.
-const fn pace(topic: Topic) -> Pace {
+fn pace(topic: Topic, leave: Duration) -> Pace {
+    let leave_ms = u64::try_from(leave.as_millis()).unwrap_or(u64::MAX);
     let (wait, pause, whole_s) = match topic {
         Topic::Operators => (2500, 150, 20),
-        Topic::Upstreams => (2500, 800, 60),
+        Topic::Upstreams => (
+            2500,
+            leave_ms.saturating_sub(NEWS_MS).max(LEAST_PAUSE_MS),
+            60,
+        ),
         Topic::Progress => (2500, 300, 20),
         Topic::Members => (20_000, 1000, 60),
     };
@@ -55,6 +67,8 @@
     pub metrics: Metrics,
     /// Which calls may be made.
     pub breaker: Breaker,
+    /// Time within which an upstream that leaves must get no new work.
+    pub leave: Duration,
 }
 
 /// How far a topic is followed.
@@ -79,7 +93,9 @@
                 return;
             }
             cursor = match cursor {
-                Cursor::Following(version, read) if read.elapsed() < pace(self.topic).whole => {
+                Cursor::Following(version, read)
+                    if read.elapsed() < pace(self.topic, self.leave).whole =>
+                {
                     self.follow(version, read).await
                 }
                 Cursor::Following(..) => self.read(None).await,
@@ -92,7 +108,7 @@
     async fn follow(&self, version: Version, read: Instant) -> Cursor {
         let permit = self.breaker.acquire().await;
         let started = Instant::now();
-        let wait = permit.wait(pace(self.topic).wait);
+        let wait = permit.wait(pace(self.topic, self.leave).wait);
         let result = self.store.follow(self.topic, version, wait).await;
         self.count(result.as_ref().err(), started);
         permit.close(matches!(result, Ok(_) | Err(Error::Forgotten)));
@@ -150,7 +166,7 @@
         let topic = self.topic;
         let page = Box::new(page);
         self.tell(Command::Learned { topic, page, whole });
-        sleep(pace(topic).pause).await;
+        sleep(pace(topic, self.leave).pause).await;
     }
 
     fn lost(&self, error: Error) {
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -49,6 +49,8 @@
     pub choice: balance::Options,
     /// Weights of the choice between models.
     pub escalation: escalation::Options,
+    /// Time within which an upstream that leaves must get no new work; read at the start only.
+    pub leave: Duration,
     /// Descriptors that the process may open.
     pub max_descriptors: u32,
     /// What this VM can bear.
@@ -117,7 +119,7 @@
 const SWITCH: &str = "true or false";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 36] = [
+const NAMES: [&str; 37] = [
     "vm",
     "zone",
     "caller-addr",
@@ -143,6 +145,7 @@
     "choice-failing",
     "choice-slow",
     "choice-spread",
+    "leave-ms",
     "escalation-size-worth",
     "escalation-rank-part",
     "escalation-even",
@@ -204,6 +207,7 @@
         let cold = self.cold();
         let choice = self.choice();
         let escalation = self.escalation();
+        let leave = self.count("leave-ms", 2_000);
         let max_descriptors = self.count("max-descriptors", 1024);
         let size = self.size();
         let is_new_site = self.switch("new-site", false);
@@ -226,6 +230,7 @@
             cold: cold?,
             choice: choice?,
             escalation: escalation?,
+            leave: Duration::from_millis(leave?.into()),
             max_descriptors: max_descriptors?,
             size: size?,
             is_new_site: is_new_site?,
