fix(cloverpost-core): no judge leaves the completion of a good roll-out to another

Change: the three judges write at once, the others as before. Two writes in vain cost two calls. Test: no_judge_leaves_the_completion_of_a_roll_out_to_another.

--- a/crates/cloverpost-core/src/exposure/judges.rs
+++ b/crates/cloverpost-core/src/exposure/judges.rs
@@ -53,6 +53,22 @@
     OTHERS + GROUP * group
 }
 
+/// Time that `own` leaves to other VMs when a roll-out of `service` is to be called complete.
+///
+/// The judges leave it to nobody. The store may turn the first ones away just then, the last one
+/// would come half a second later, and the operator's time is over; two writes in vain cost less.
+#[must_use]
+pub fn completion_delay<'a>(
+    service: &id::Pool,
+    members: impl Iterator<Item = &'a id::Vm> + Clone,
+    own: &id::Vm,
+) -> Duration {
+    if judges(service, members.clone()).contains(&own) {
+        return Duration::ZERO;
+    }
+    write_delay(service, members, own)
+}
+
 fn rank(service: &id::Pool, vm: &id::Vm) -> u64 {
     // The default hasher has no random state.
     let mut hasher = DefaultHasher::new();
--- a/crates/cloverpost-core/src/exposure/mod.rs
+++ b/crates/cloverpost-core/src/exposure/mod.rs
@@ -18,7 +18,7 @@
 mod tally;
 
 pub use allowance::Allowance;
-pub use judges::{JUDGES, judges, write_delay};
+pub use judges::{JUDGES, completion_delay, judges, write_delay};
 pub use key::{Key, Side, Span};
 pub use message::Message;
 pub use pins::Pins;
--- a/crates/cloverpost-core/src/exposure/stage.rs
+++ b/crates/cloverpost-core/src/exposure/stage.rs
@@ -40,11 +40,10 @@
 }
 
 impl Stage {
-    /// Whether the roll-out may be called complete by a VM that leaves `waits` of
-    /// the time to others.
+    /// Whether the roll-out may be called complete.
     #[must_use]
-    pub fn may_complete(&self, waits: f64) -> bool {
-        self.part >= 1.0 - self.allowance.share * COMPLETE + waits
+    pub fn may_complete(&self) -> bool {
+        self.part >= 1.0 - self.allowance.share * COMPLETE
     }
 
     /// Share of the sessions that go to the new version on a VM that has sent what
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -5,7 +5,7 @@
 
 use cloverpost_core::directory::{Rollout, Version};
 use cloverpost_core::exposure::{
-    Allowance, Pins, Sessions, Stage, Tally, judges, stage, write_delay,
+    Allowance, Pins, Sessions, Stage, Tally, completion_delay, judges, stage, write_delay,
 };
 use cloverpost_core::{id, time};
 use rstest::rstest;
@@ -141,7 +141,7 @@
     let share = stage.share(&tally);
     assert!((0.04..=0.15).contains(&share), "{stage:?}");
     assert!(!stage.is_watching);
-    assert!(!stage.may_complete(0.0));
+    assert!(!stage.may_complete());
 }
 
 #[test]
@@ -223,8 +223,8 @@
         slack: 0.0,
     };
     let stage = |part: u64| stage(&rollout, 50_000 + duration_ms * part / 1000, allowance, gap);
-    assert!(!stage(900).may_complete(0.0));
-    assert!(stage(982).may_complete(0.0));
+    assert!(!stage(900).may_complete());
+    assert!(stage(982).may_complete());
 }
 
 #[test]
@@ -234,7 +234,7 @@
     let got = Traffic::of(20_000, 5_000, 0.15).play();
     let steps = (0..).zip(&got.shares);
     let whole =
-        steps.filter(|(step, share)| **share > 0.9 && !at(50_000 + step * 10).may_complete(0.0));
+        steps.filter(|(step, share)| **share > 0.9 && !at(50_000 + step * 10).may_complete());
     assert!(whole.count() >= 90);
 }
 
@@ -332,8 +332,23 @@
         ..rollout()
     };
     let at = |now_ms| stage(&late, now_ms, ALLOWED, GAP);
-    assert!(!at(69_000).may_complete(0.0));
-    assert!(at(69_300).may_complete(0.0));
+    assert!(!at(69_000).may_complete());
+    assert!(at(69_300).may_complete());
     assert!(at(55_650).is_watching);
     assert!(!at(55_700).is_watching);
 }
+
+#[test]
+fn no_judge_leaves_the_completion_of_a_roll_out_to_another() {
+    // The store turns the two judges away that come first, as a good roll-out is to be completed.
+    // The third must write at once: some tenths of a second later the operator's time is over.
+    let service = "app".parse().unwrap();
+    let vms: Vec<id::Vm> = (0..66)
+        .map(|one| format!("vm-{one}").parse().unwrap())
+        .collect();
+    let judges = judges(&service, vms.iter());
+    for vm in &vms {
+        let delay = completion_delay(&service, vms.iter(), vm);
+        assert_eq!(delay.is_zero(), judges.contains(&vm), "{vm}");
+    }
+}
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -15,9 +15,6 @@
 
 /// Answers of the new version without which it is not called good.
 const LEAST_ANSWERS: u64 = 20;
-/// Part of the time that each VM leaves to the one that ranks before it. A write that
-/// comes second does no harm and costs a call.
-const RANK_WAIT: f64 = 0.004;
 
 /// A write that moves a roll-out on.
 #[derive(Clone, Debug, PartialEq)]
@@ -65,15 +62,13 @@
     let current = row
         .map(|row| &row.value)
         .filter(|progress| progress.answers(order, version));
-    let waits = || {
-        let vms = image.members.rows.values().map(|row| &row.value.vm);
-        exposure::write_delay(&order.service, vms, &shared.settings.load().vm)
-    };
+    let vms = || image.members.rows.values().map(|row| &row.value.vm);
+    let own = &shared.settings.load().vm;
     let Some(current) = current else {
         return Some(Step {
             progress: begin(image, order, version, shared.store_now_ms(), late),
             expected,
-            waits: waits(),
+            waits: exposure::write_delay(&order.service, vms(), own),
             why: "ordered",
             evidence: String::new(),
         });
@@ -93,7 +88,7 @@
         waits: if state == State::Reverted {
             Duration::ZERO
         } else {
-            waits()
+            exposure::completion_delay(&order.service, vms(), own)
         },
         why,
         evidence: shared.evidence().summary(&order.service, version),
@@ -133,8 +128,8 @@
     order: &Order,
     current: &Progress,
 ) -> Option<(State, &'static str)> {
-    let rank = rank(shared, image, &order.service);
-    if rank.is_some() && shared.evidence().judge(&order.service, current.order) {
+    let is_judge = is_judge(shared, image, &order.service);
+    if is_judge && shared.evidence().judge(&order.service, current.order) {
         return Some((State::Reverted, "the new version answers worse"));
     }
     let rollout = directory::Rollout {
@@ -146,9 +141,7 @@
         duration_ms: u64::try_from(order.duration.as_millis()).unwrap_or(u64::MAX),
     };
     let stage = shared.stage(&rollout);
-    let place = u32::try_from(rank.unwrap_or(exposure::JUDGES)).unwrap_or(u32::MAX);
-    let waits = f64::from(place) * RANK_WAIT;
-    if !stage.may_complete(waits) || !runs(&shared.view.load(), &order.service, &order.target) {
+    if !stage.may_complete() || !runs(&shared.view.load(), &order.service, &order.target) {
         return None;
     }
     let answers = shared.evidence().answers(&order.service, current.order);
@@ -156,13 +149,10 @@
     is_seen.then_some((State::Completed, "the new version answers well"))
 }
 
-/// Place of this VM among those that judge a roll-out; `None` if it does not. The
-/// others know what they saw themselves, and each that judged by that alone would be
+/// Whether this VM is one of those that judge a roll-out of `service`. The others know what they saw themselves, and each that judged by that alone would be
 /// one more chance to halt a good version.
-fn rank<C: Codec>(shared: &Shared<C>, image: &Image, service: &id::Pool) -> Option<usize> {
-    let own = &shared.settings.load().vm;
-    let judges = judges(image, service);
-    judges.iter().position(|vm| *vm == own)
+fn is_judge<C: Codec>(shared: &Shared<C>, image: &Image, service: &id::Pool) -> bool {
+    judges(image, service).contains(&&shared.settings.load().vm)
 }
 
 /// VMs that pool the evidence on `service`.
