--- a/crates/cloverpost-core/src/cold/mod.rs
+++ b/crates/cloverpost-core/src/cold/mod.rs
@@ -10,9 +10,9 @@
 mod limit;
 mod options;
 mod register;
-mod sender;
+mod senders;
 
 pub use limit::Limit;
 pub use options::Options;
 pub use register::Register;
-pub use sender::Senders;
+pub use senders::Senders;
--- a/crates/cloverpost-core/src/cold/register.rs
+++ b/crates/cloverpost-core/src/cold/register.rs
@@ -18,15 +18,18 @@
 struct Terms {
     /// Time for which they are cold.
     time: Duration,
+    /// What one of them gets meanwhile.
     limit: Limit,
 }
 
 /// An upstream that is cold, or may be.
 #[derive(Clone, Debug)]
 struct Cold {
+    /// When it counts as warm.
     until: time::Moment,
     /// Whether it took no connection and has not answered since.
     is_suspect: bool,
+    /// Whether this VM sends to it meanwhile.
     is_sender: bool,
     upstream: Upstream,
     /// When this VM sent to it, within the window.
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -149,8 +149,9 @@
     is_seen.then_some((State::Completed, "the new version answers well"))
 }
 
-/// Whether this VM is one of those that judge a roll-out of `service`. The others know what they saw themselves, and each that judged by that alone would be
-/// one more chance to halt a good version.
+/// Whether this VM is one of those that judge a roll-out of `service`. The others know what they
+/// saw themselves, and each that judged by that alone would be one more chance to halt a good
+/// version.
 fn is_judge<C: Codec>(shared: &Shared<C>, image: &Image, service: &id::Pool) -> bool {
     judges(image, service).contains(&&shared.settings.load().vm)
 }
