fix(cloverpost): sessions are noted also by VMs that know no upstream of the new version yet

While sessions are watched at the start of a roll-out, those that would go to the new version are noted, so that they stay. A VM that knew no upstream of the new version, or none that may get anything as all are cold, chose the old one before it came to that; the session's next request came to a VM that knew one. Change: the session is noted first. No test of its own: the stand-ins' sessions are shorter than the news of an upstream take.

--- a/crates/cloverpost/src/gateway/pick.rs
+++ b/crates/cloverpost/src/gateway/pick.rs
@@ -222,6 +222,7 @@
     rollout: &Rollout,
     cold: &cold::Register,
 ) -> Side {
+    pin(shared, job, rollout);
     let now = shared.clock.now();
     let has = |side: &Side| pool.upstreams.iter().any(|one| side.takes(one));
     // All upstreams of a new version start cold, and the old ones have room meanwhile.
@@ -243,6 +244,22 @@
     }
 }
 
+/// Notes a session that would go to the new version, while these are watched.
+///
+/// Also by a VM that knows no upstream of the new version yet, or none that may get anything: the
+/// session's next request comes through another VM, which may know one, and would leave its
+/// version in the midst.
+fn pin<C: Codec>(shared: &Shared<C>, job: &Job, rollout: &Rollout) {
+    let stage = shared.stage(rollout);
+    if let Some(session) = job.asked.session
+        && stage.is_watching
+        && point(job, rollout) < stage.first_share
+    {
+        let key = (job.service.clone(), rollout.order);
+        shared.pins().pin(&key, session);
+    }
+}
+
 fn goes_new<C: Codec>(shared: &Shared<C>, job: &Job, pool: &Pool, rollout: &Rollout) -> bool {
     let stage = shared.stage(rollout);
     let share = stage.share(&tally(shared, job, pool, rollout));
@@ -252,9 +269,6 @@
         return point < share;
     };
     let key = (job.service.clone(), rollout.order);
-    if stage.is_watching && point < stage.first_share {
-        shared.pins().pin(&key, session);
-    }
     let gap = shared.settings.load().session_gap;
     let now = shared.clock.now();
     match shared.sessions().version(session, now, gap) {
