feat(cloverpost): metrics and log lines tell repeats granted, refused, and a VM's slack

Nothing told from outside whether the fleet's retry budget had granted a repeat, by how many VMs its slack was divided, or what a VM's part was: the incident's hypotheses could be told apart only by counting failed attempts in all logs.

repeats_total by service and result, the gauges fleet_vms and repeat_slack, a line with the request's id when a repeat is refused, and one when the number of VMs changes. No decision changes.

--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry,
 };
 
 use crate::peer;
@@ -36,6 +37,12 @@
     pub answered: IntCounterVec,
     /// Sends to upstreams, by service and result.
     pub attempts: IntCounterVec,
+    /// Repeated sends that the fleet's budget granted or refused, by service.
+    pub repeats: IntCounterVec,
+    /// VMs that the budgets of the fleet are divided by.
+    pub fleet: IntGauge,
+    /// This VM's part of the repeats that the fleet may send on top of its share.
+    pub repeat_slack: Gauge,
     /// Answers of a model that were dropped for a larger one's, by route.
     pub escalated: IntCounterVec,
     /// Streams that went on at another upstream, by route.
@@ -102,6 +109,22 @@
                 "sends to upstreams",
                 &["service", "result"],
             ),
+            repeats: counters(
+                "repeats_total",
+                "repeated sends that the fleet's budget granted or refused",
+                &["service", "result"],
+            ),
+            fleet: gauge(
+                "fleet_vms",
+                "VMs that the budgets of the fleet are divided by",
+            ),
+            repeat_slack: add(
+                &registry,
+                Gauge::new(
+                    "repeat_slack",
+                    "this VM's part of the repeats beyond the share of its requests",
+                ),
+            ),
             escalated: counters(
                 "escalated_total",
                 "answers dropped for a larger model's",
--- a/crates/cloverpost/src/gateway/plain.rs
+++ b/crates/cloverpost/src/gateway/plain.rs
@@ -91,7 +91,7 @@
     failure: Failure,
 ) -> Next {
     let now = shared.clock.now();
-    let within_budget = || shared.may_repeat(&job.service);
+    let within_budget = || shared.may_repeat(job);
     dispatch.failed(failure, now, within_budget)
 }
 
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -12,6 +12,7 @@
 use crate::clock::Clock;
 use crate::gateway::codec::Codec;
 use crate::gateway::evidence::Evidence;
+use crate::gateway::job::Job;
 use crate::gateway::metrics::Metrics;
 use crate::gateway::pool::Pool;
 use crate::gateway::settings::Settings;
@@ -166,10 +167,22 @@
         self.with_budget(service, |budget| budget.first(now));
     }
 
-    /// Takes one repeated send to `service` from the budget; `false` if none is left.
-    pub fn may_repeat(&self, service: &id::Pool) -> bool {
+    /// Takes one repeated send of `job` from the budget; `false` if none is left.
+    pub fn may_repeat(&self, job: &Job) -> bool {
         let now = self.clock.now();
-        self.with_budget(service, |budget| budget.repeat(now))
+        let service = &job.service;
+        let granted = self.with_budget(service, |budget| budget.repeat(now));
+        let result = if granted { "granted" } else { "refused" };
+        let repeats = &self.metrics.repeats;
+        repeats.with_label_values(&[service.as_str(), result]).inc();
+        if !granted {
+            log::info!(
+                id = job.asked.id.as_str(), service = service.as_str(),
+                fleet = self.metrics.fleet.get(), slack = self.metrics.repeat_slack.get();
+                "the retry budget has no repeat left"
+            );
+        }
+        granted
     }
 
     fn with_budget<T>(&self, service: &id::Pool, act: impl FnOnce(&mut budget::Window) -> T) -> T {
@@ -193,6 +206,11 @@
     pub fn split_budget(&self, vms: u32) {
         self.vms.store(vms, Ordering::Relaxed);
         let slack = slack(&self.settings.load(), vms);
+        if self.metrics.fleet.get() != i64::from(vms) {
+            self.metrics.fleet.set(i64::from(vms));
+            log::info!(vms, slack; "the fleet's budgets are divided anew");
+        }
+        self.metrics.repeat_slack.set(slack);
         for budget in lock(&self.budgets).values_mut() {
             budget.set_slack(slack);
         }
