fix(cloverpost): a VM that the list lacks takes no part of what belongs to the fleet

Callers of other VMs lost the retries that they were owed, and a service got repeats without bound: each VM took itself for the only one until it knew the list of VMs, and had the whole fleet's slack (180 in place of 2.25 at 80 VMs). VMs that start together read an empty list, since each is written to it up to 0.9 s later.

The size of the fleet is a type of its own, Fleet, which is unknown until the list holds the VM itself; its part of anything is nothing until then. The slack of a new version's exposure (30 requests) was divided in the same way and has the same mend. Cold upstreams were sound: a VM that is not listed is drawn for none of them.

--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/directory/fleet.rs
@@ -0,0 +1,55 @@
+//! How many VMs share what the fleet may do.
+
+use cloverpost_core::directory::{Fleet, Member, Row, Size, Table, Version};
+use rstest::rstest;
+
+fn member(vm: &str) -> Member {
+    Member {
+        vm: vm.parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        size: Size::default(),
+    }
+}
+
+fn list(vms: &[&str]) -> Table<Member> {
+    let version = Version::new(1);
+    let row = |vm: &&str| {
+        (
+            (*vm).to_owned(),
+            Row {
+                version,
+                value: member(vm),
+            },
+        )
+    };
+    Table {
+        rows: vms.iter().map(row).collect(),
+        ..Table::default()
+    }
+}
+
+#[rstest]
+#[case::the_list_is_empty(&[], "unknown", 0.0)]
+#[case::the_list_lacks_it(&["b", "c"], "unknown", 0.0)]
+#[case::it_is_alone(&["a"], "1", 60.0)]
+#[case::with_others(&["a", "b", "c", "d"], "4", 15.0)]
+fn a_vm_takes_a_part_only_of_a_fleet_that_it_belongs_to(
+    #[case] vms: &[&str],
+    #[case] shown: &str,
+    #[case] part: f64,
+) {
+    let fleet = list(vms).fleet(&member("a"));
+    assert_eq!(fleet.to_string(), shown);
+    assert_eq!(shown.parse(), Ok(fleet));
+    assert!((fleet.part(60.0) - part).abs() < 1e-9);
+}
+
+#[rstest]
+#[case("0")]
+#[case("-1")]
+#[case("many")]
+fn a_text_that_is_no_fleet_is_told(#[case] text: &str) {
+    let error = text.parse::<Fleet>().unwrap_err().to_string();
+    assert!(error.contains(text), "{error}");
+}
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -1,6 +1,7 @@
 //! What a VM believes of its surroundings.
 
 mod fetch;
+mod fleet;
 mod image;
 mod index;
 mod table;
--- a/crates/cloverpost/src/gateway/control/belief.rs
+++ b/crates/cloverpost/src/gateway/control/belief.rs
@@ -205,8 +205,8 @@
         if self.knows_orders() {
             self.publish_view();
         }
-        let vms = u32::try_from(self.image.members.rows.len()).unwrap_or(u32::MAX);
-        self.parts.shared.split_budget(vms);
+        let fleet = self.image.members.fleet(&self.parts.own);
+        self.parts.shared.set_fleet(fleet);
         self.choose_senders();
         self.choose_to_follow();
     }
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -63,7 +63,7 @@
     tallies: Mutex<exposure::Tallies>,
     /// What may be sent again, by service.
     budgets: Mutex<HashMap<id::Pool, budget::Window>>,
-    /// VMs that share the fleet's budget.
+    /// VMs that share what the fleet may do; 0 while they are not known.
     vms: AtomicU32,
     evidence: Mutex<Evidence>,
     /// The store's clock less this VM's, in milliseconds.
@@ -103,7 +103,7 @@
             pins: Mutex::default(),
             tallies: Mutex::default(),
             budgets: Mutex::default(),
-            vms: AtomicU32::new(1),
+            vms: AtomicU32::new(0),
             evidence: Mutex::new(Evidence::new(source)),
             store_offset: AtomicI64::new(0),
         })
@@ -148,10 +148,9 @@
     pub fn stage(&self, rollout: &directory::Rollout) -> exposure::Stage {
         let settings = self.settings.load();
         let now_ms = self.store_now_ms();
-        let vms = self.vms.load(Ordering::Relaxed).max(1);
         let allowance = exposure::Allowance {
             share: settings.exposure_share,
-            slack: settings.exposure_slack / f64::from(vms),
+            slack: self.fleet().part(settings.exposure_slack),
         };
         exposure::stage(rollout, now_ms, allowance, settings.session_gap)
     }
@@ -192,7 +191,7 @@
         }
         let settings = self.settings.load();
         let share = settings.retry_share * BUDGET_PART;
-        let slack = slack(&settings, self.vms.load(Ordering::Relaxed));
+        let slack = slack(&settings, self.fleet());
         let budget = budget::Window::new(share, slack, settings.retry_window);
         act(budgets.entry(service.clone()).or_insert(budget))
     }
@@ -202,13 +201,19 @@
         lock(&self.evidence)
     }
 
-    /// Splits the fleet's retry budget among `vms`.
-    pub fn split_budget(&self, vms: u32) {
-        self.vms.store(vms, Ordering::Relaxed);
-        let slack = slack(&self.settings.load(), vms);
-        if self.metrics.fleet.get() != i64::from(vms) {
-            self.metrics.fleet.set(i64::from(vms));
-            log::info!(vms, slack; "the fleet's budgets are divided anew");
+    /// VMs that share what the fleet may do.
+    fn fleet(&self) -> directory::Fleet {
+        directory::Fleet::new(self.vms.load(Ordering::Relaxed))
+    }
+
+    /// Divides what the fleet may do among the VMs of `fleet`.
+    pub fn set_fleet(&self, fleet: directory::Fleet) {
+        self.vms.store(fleet.vms(), Ordering::Relaxed);
+        let slack = slack(&self.settings.load(), fleet);
+        let shown = i64::from(fleet.vms());
+        if self.metrics.fleet.get() != shown {
+            self.metrics.fleet.set(shown);
+            log::info!(fleet:%, slack; "the fleet's budgets are divided anew");
         }
         self.metrics.repeat_slack.set(slack);
         for budget in lock(&self.budgets).values_mut() {
@@ -265,9 +270,9 @@
     }
 }
 
-/// What each of `vms` may send again on top of its share.
-fn slack(settings: &Settings, vms: u32) -> f64 {
-    f64::from(settings.retry_slack) * BUDGET_PART / f64::from(vms.max(1))
+/// What each VM of `fleet` may send again on top of its share.
+fn slack(settings: &Settings, fleet: directory::Fleet) -> f64 {
+    fleet.part(f64::from(settings.retry_slack) * BUDGET_PART)
 }
 
 fn millis(now: time::Moment) -> u64 {
