fix(cloverpost-core): repeats are earned, so a process that is killed forgets none

A service whose upstreams failed got up to twice the repeats that the fleet may send. The budget remembered what a VM had sent again within the window, and let it spend at once what the requests of a whole window had earned. That record had two faults:

- It was gone with the process.
A VM that had spent its budget and was killed earned a second one from its next requests; with the slack at hand at each start.
- It dropped the oldest tenth of the window as soon as that tenth's first moment was over, and so forgot up to a second of repeats too early.
Its test looked at spans of nine tenths of the window.
With the whole window the test fails on the old code.

Credit is earned by each request and hardly kept: at most a quarter of what the last window's requests earn, and the slack. Nothing that was spent is remembered, so nothing can be forgotten, and the bound holds in every window whoever is killed when: what was kept is bound by the requests of the window before, the rest by those of this one. The property test plays fleets of up to seven VMs with restarts against the rule itself. The slack is at hand only for a service that is first asked for a window after the start.

--- a/crates/cloverpost-core/src/budget/mod.rs
+++ b/crates/cloverpost-core/src/budget/mod.rs
@@ -9,13 +9,16 @@
 //! is less than one retry.
 
 mod bucket;
+mod credit;
 mod options;
+mod recent;
 mod share;
-mod window;
+mod terms;
 
+pub use credit::Credit;
 pub use options::Options;
 pub use share::{ParseShare, Share};
-pub use window::Window;
+pub use terms::Terms;
 
 use std::collections::BTreeMap;
 
--- /dev/null
+++ b/crates/cloverpost-core/tests/behaviour/budget/credit.rs
@@ -0,0 +1,158 @@
+//! Credit for repeats.
+
+use std::time::Duration;
+
+use cloverpost_core::budget::{Credit, Terms};
+use cloverpost_core::time;
+use proptest::prelude::*;
+use rstest::rstest;
+
+const WINDOW_MS: u64 = 10_000;
+const SHARE: f64 = 0.8;
+const SLACK: f64 = 6.0;
+
+fn at(millis: u64) -> time::Moment {
+    time::Moment::from_millis(millis)
+}
+
+fn terms(slack: f64) -> Terms {
+    Terms {
+        share: SHARE,
+        slack,
+        window: Duration::from_millis(WINDOW_MS),
+    }
+}
+
+fn repeats(credit: &mut Credit, terms: &Terms, now: time::Moment, wanted: u32) -> u32 {
+    (0..wanted)
+        .map(|_| u32::from(credit.repeat(terms, now)))
+        .sum()
+}
+
+#[test]
+fn a_clump_of_repeats_may_use_what_the_last_window_left() {
+    let terms = terms(2.0);
+    let mut credit = Credit::new(0.0);
+    for second in 0..9 {
+        (0..8).for_each(|_| credit.first(&terms, at(second * 1_000)));
+    }
+    // 72 requests keep a fifth each.
+    assert_eq!(repeats(&mut credit, &terms, at(8_900), 100), 16);
+}
+
+#[test]
+fn half_of_a_vms_requests_may_always_be_repeated() {
+    let terms = terms(2.0);
+    let mut credit = Credit::new(0.0);
+    let mut refused = 0;
+    for number in 0..200 {
+        let now = at(number * 125);
+        credit.first(&terms, now);
+        let wants = number % 8 >= 4;
+        refused += u32::from(wants && !credit.repeat(&terms, now));
+    }
+    assert_eq!(refused, 0);
+}
+
+#[test]
+fn what_is_older_than_the_window_is_not_kept() {
+    let terms = terms(1.0);
+    let mut credit = Credit::new(0.0);
+    (0..100).for_each(|_| credit.first(&terms, at(0)));
+    assert_eq!(repeats(&mut credit, &terms, at(WINDOW_MS), 100), 1);
+}
+
+#[test]
+fn a_smaller_slack_counts_at_once() {
+    let mut credit = Credit::new(9.0);
+    assert_eq!(repeats(&mut credit, &terms(2.0), at(0), 100), 2);
+}
+
+#[test]
+fn a_process_that_starts_again_has_earned_nothing() {
+    let terms = terms(9.0);
+    let mut credit = Credit::new(0.0);
+    assert!(!credit.repeat(&terms, at(0)));
+}
+
+/// What one VM of a fleet does.
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    Ask,
+    Repeat(u32),
+    Restart,
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    prop_oneof![
+        6 => Just(Act::Ask),
+        6 => (1..20_u32).prop_map(Act::Repeat),
+        1 => Just(Act::Restart),
+    ]
+}
+
+/// A VM's act, after a pause of the fleet in milliseconds.
+fn step() -> impl Strategy<Value = (u64, usize, Act)> {
+    let pause = prop_oneof![8 => 0..200_u64, 1 => 1_000..9_999_u64];
+    (pause, 0..8_usize, act())
+}
+
+/// Of `times`, those in the window that ends with `end`.
+fn within(times: &[u64], end: u64) -> f64 {
+    let is_within = |at: &&u64| **at <= end && **at + WINDOW_MS > end;
+    f64::from(u32::try_from(times.iter().filter(is_within).count()).unwrap())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
+
+    // A fleet whose VMs are killed at any moment, and forget what they have sent again, keeps in
+    // every window to the share of the requests of that window or the one before, plus the slack.
+    #[test]
+    fn no_window_holds_more_repeats_than_allowed(
+        vms in 1..8_usize,
+        steps in prop::collection::vec(step(), 1..400),
+    ) {
+        let terms = terms(SLACK / f64::from(u32::try_from(vms).unwrap()));
+        let mut credits = vec![Credit::new(terms.slack); vms];
+        let mut now = WINDOW_MS * 2;
+        let (mut firsts, mut taken) = (Vec::new(), Vec::new());
+        for (pause, vm, act) in steps {
+            now += pause;
+            let credit = &mut credits[vm % vms];
+            match act {
+                Act::Ask => {
+                    credit.first(&terms, at(now));
+                    firsts.push(now);
+                }
+                Act::Repeat(wanted) => {
+                    let sent = repeats(credit, &terms, at(now), wanted);
+                    taken.extend((0..sent).map(|_| now));
+                }
+                Act::Restart => *credit = Credit::new(0.0),
+            }
+        }
+        for end in &taken {
+            let owed = within(&firsts, *end).max(within(&firsts, *end - WINDOW_MS));
+            let allowed = owed * SHARE + SLACK;
+            prop_assert!(within(&taken, *end) <= allowed + 1e-6, "{} of {allowed}", within(&taken, *end));
+        }
+    }
+}
+
+// A fleet that shrinks hands the slack of those that left to the others only as they earn it.
+#[rstest]
+#[case::by_half(8, 4)]
+#[case::to_one(8, 1)]
+fn vms_that_remain_have_nothing_that_leavers_have_spent(#[case] before: u32, #[case] after: u32) {
+    let all = terms(SLACK / f64::from(before));
+    let mut credits = vec![Credit::new(all.slack); before as usize];
+    let spend = |credits: &mut [Credit], terms: &Terms| -> u32 {
+        let spent = credits.iter_mut();
+        spent.map(|one| repeats(one, terms, at(1), 100)).sum()
+    };
+    let mut sent = spend(&mut credits, &all);
+    let remaining = terms(SLACK / f64::from(after));
+    sent += spend(&mut credits[..after as usize], &remaining);
+    assert!(f64::from(sent) <= SLACK, "{sent}");
+}
--- a/crates/cloverpost-core/tests/behaviour/budget/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/budget/mod.rs
@@ -1,6 +1,6 @@
 //! Retry budgets.
 
-mod window;
+mod credit;
 
 use std::time::Duration;
 
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -62,7 +62,7 @@
     pins: Mutex<exposure::Pins>,
     tallies: Mutex<exposure::Tallies>,
     /// What may be sent again, by service.
-    budgets: Mutex<HashMap<id::Pool, budget::Window>>,
+    credits: Mutex<HashMap<id::Pool, budget::Credit>>,
     /// VMs that share what the fleet may do; 0 while they are not known.
     vms: AtomicU32,
     evidence: Mutex<Evidence>,
@@ -102,7 +102,7 @@
             sessions: Mutex::default(),
             pins: Mutex::default(),
             tallies: Mutex::default(),
-            budgets: Mutex::default(),
+            credits: Mutex::default(),
             vms: AtomicU32::new(0),
             evidence: Mutex::new(Evidence::new(source)),
             store_offset: AtomicI64::new(0),
@@ -163,14 +163,14 @@
     /// Notes the first send of a request to `service`.
     pub fn note_first(&self, service: &id::Pool) {
         let now = self.clock.now();
-        self.with_budget(service, |budget| budget.first(now));
+        self.with_credit(service, |credit, terms| credit.first(terms, now));
     }
 
     /// Takes one repeated send of `job` from the budget; `false` if none is left.
     pub fn may_repeat(&self, job: &Job) -> bool {
         let now = self.clock.now();
         let service = &job.service;
-        let granted = self.with_budget(service, |budget| budget.repeat(now));
+        let granted = self.with_credit(service, |credit, terms| credit.repeat(terms, now));
         let result = if granted { "granted" } else { "refused" };
         let repeats = &self.metrics.repeats;
         repeats.with_label_values(&[service.as_str(), result]).inc();
@@ -184,16 +184,26 @@
         granted
     }
 
-    fn with_budget<T>(&self, service: &id::Pool, act: impl FnOnce(&mut budget::Window) -> T) -> T {
-        let mut budgets = lock(&self.budgets);
-        if let Some(budget) = budgets.get_mut(service) {
-            return act(budget);
+    fn with_credit<T>(
+        &self,
+        service: &id::Pool,
+        act: impl FnOnce(&mut budget::Credit, &budget::Terms) -> T,
+    ) -> T {
+        let terms = terms(&self.settings.load(), self.fleet());
+        let mut credits = lock(&self.credits);
+        if !credits.contains_key(service) {
+            let credit = budget::Credit::new(self.first_credit(&terms));
+            credits.insert(service.clone(), credit);
         }
-        let settings = self.settings.load();
-        let share = settings.retry_share * BUDGET_PART;
-        let slack = slack(&settings, self.fleet());
-        let budget = budget::Window::new(share, slack, settings.retry_window);
-        act(budgets.entry(service.clone()).or_insert(budget))
+        let credit = credits.get_mut(service).expect("inserted above");
+        act(credit, &terms)
+    }
+
+    /// Repeats that a service's credit begins with. A process before this one may have spent the
+    /// slack within the last window.
+    fn first_credit(&self, terms: &budget::Terms) -> f64 {
+        let age = self.clock.now().since_start();
+        if age < terms.window { 0.0 } else { terms.slack }
     }
 
     /// How the versions of services answer.
@@ -209,16 +219,13 @@
     /// Divides what the fleet may do among the VMs of `fleet`.
     pub fn set_fleet(&self, fleet: directory::Fleet) {
         self.vms.store(fleet.vms(), Ordering::Relaxed);
-        let slack = slack(&self.settings.load(), fleet);
+        let slack = terms(&self.settings.load(), fleet).slack;
         let shown = i64::from(fleet.vms());
         if self.metrics.fleet.get() != shown {
             self.metrics.fleet.set(shown);
             log::info!(fleet:%, slack; "the fleet's budgets are divided anew");
         }
         self.metrics.repeat_slack.set(slack);
-        for budget in lock(&self.budgets).values_mut() {
-            budget.set_slack(slack);
-        }
     }
 
     /// The store's clock, in milliseconds, as far as this VM knows it.
@@ -270,9 +277,13 @@
     }
 }
 
-/// What each VM of `fleet` may send again on top of its share.
-fn slack(settings: &Settings, fleet: directory::Fleet) -> f64 {
-    fleet.part(f64::from(settings.retry_slack) * BUDGET_PART)
+/// What each VM of `fleet` may send again.
+fn terms(settings: &Settings, fleet: directory::Fleet) -> budget::Terms {
+    budget::Terms {
+        share: settings.retry_share * BUDGET_PART,
+        slack: fleet.part(f64::from(settings.retry_slack) * BUDGET_PART),
+        window: settings.retry_window,
+    }
 }
 
 fn millis(now: time::Moment) -> u64 {
