feat(cloverpost): how much of the retry budget may be kept is a setting

retry-kept, 0.25 unless set: the part of the share that bounds the repeats kept for clumps of failures.

--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -35,6 +35,8 @@
     pub session_gap: Duration,
     /// Repeated sends for each request to a service, over all VMs.
     pub retry_share: f64,
+    /// Part of them that may be kept for clumps of failures.
+    pub retry_kept: f64,
     /// Time over which repeated sends are counted.
     pub retry_window: Duration,
     /// Repeated sends that all VMs may make on top.
@@ -98,6 +100,9 @@
 
 impl std::error::Error for Faults {}
 
+/// Part of the repeats that may be kept, where the settings do not say.
+const RETRY_KEPT: f64 = 0.25;
+
 /// Accepted form of an address.
 const ADDRESS: &str = "IP:PORT, such as 10.0.0.1:8080";
 /// Accepted form of a name.
@@ -119,7 +124,7 @@
 const SWITCH: &str = "true or false";
 
 /// Every name that a settings file may hold.
-const NAMES: [&str; 37] = [
+const NAMES: [&str; 38] = [
     "vm",
     "zone",
     "caller-addr",
@@ -131,6 +136,7 @@
     "stop-grace-s",
     "session-gap-s",
     "retry-share",
+    "retry-kept",
     "retry-window-s",
     "retry-slack",
     "exposure-share",
@@ -200,6 +206,7 @@
         let stop_grace = self.seconds("stop-grace-s", 8.0);
         let session_gap = self.seconds("session-gap-s", 5.0);
         let retry_share = self.number("retry-share", 0.2, 10.0, "a number from 0 to 10");
+        let retry_kept = self.number("retry-kept", RETRY_KEPT, 1.0, SHARE);
         let retry_window = self.seconds("retry-window-s", 10.0);
         let retry_slack = self.count("retry-slack", 10);
         let exposure_share = self.number("exposure-share", 0.1, 1.0, SHARE);
@@ -223,6 +230,7 @@
             stop_grace: stop_grace?,
             session_gap: session_gap?,
             retry_share: retry_share?,
+            retry_kept: retry_kept?,
             retry_window: retry_window?,
             retry_slack: retry_slack?,
             exposure_share: exposure_share?,
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -281,6 +281,7 @@
 fn terms(settings: &Settings, fleet: directory::Fleet) -> budget::Terms {
     budget::Terms {
         share: settings.retry_share * BUDGET_PART,
+        kept: settings.retry_kept,
         slack: fleet.part(f64::from(settings.retry_slack) * BUDGET_PART),
         window: settings.retry_window,
     }
