fix(cloverpost-core): a process that starts within a roll-out spends no slack anew

One that is killed and starts again has sent nothing, so in the second half of a roll-out it took the last stage for begun (nothing is still to come), and it had its part of exposure-slack once more. With 80 VMs killed three times that is 240 requests, and 90 of slack, to a version that may be bad.

A VM that has sent nothing keeps to the small share, and only a process that was there when the order came has a part of the slack. Core exposure: 29 passed; adapter rollout: 10 passed.

--- a/crates/cloverpost-core/src/exposure/stage.rs
+++ b/crates/cloverpost-core/src/exposure/stage.rs
@@ -65,9 +65,11 @@
     /// A time set beforehand does not do. Streams that run on the old version are cut
     /// when it stops and go on on the new one: with 150 requests a second that last
     /// 0.6 s this alone was 80 requests of 390 allowed, and bursts come on top.
+    ///
+    /// A VM that has sent nothing can't tell what is still to come.
     #[must_use]
     pub fn is_whole(&self, tally: &Tally) -> bool {
-        if self.part < HALF {
+        if self.part < HALF || tally.all == 0 {
             return false;
         }
         let all = f64::from(tally.all);
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -127,6 +127,27 @@
     assert!(stage.is_watching);
 }
 
+// VMs that are killed in the second half of a roll-out have each forgotten what they sent.
+#[rstest]
+#[case::just_after_half_of_its_time(60_100)]
+#[case::towards_its_end(67_000)]
+fn a_vm_that_has_sent_nothing_yet_keeps_to_the_small_share(#[case] now_ms: u64) {
+    let share = at(now_ms).share(&Tally::default());
+    assert!(share < ALLOWED.share, "{share}");
+}
+
+#[rstest]
+#[case::as_the_order_came(50_000, 30.0)]
+#[case::after_it(50_001, 0.0)]
+fn a_process_that_began_after_the_order_has_no_slack(#[case] since_ms: u64, #[case] slack: f64) {
+    let allowance = Allowance {
+        slack: 30.0,
+        ..ALLOWED
+    };
+    let left = allowance.of_process(since_ms, &rollout()).slack;
+    assert!((left - slack).abs() < f64::EPSILON, "{left}");
+}
+
 #[rstest]
 #[case::after_the_gap(55_100)]
 #[case::at_half_of_its_time(59_900)]
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -152,6 +152,8 @@
             share: settings.exposure_share,
             slack: self.fleet().part(settings.exposure_slack),
         };
+        let age = self.clock.now();
+        let allowance = allowance.of_process(now_ms.saturating_sub(millis(age)), rollout);
         exposure::stage(rollout, now_ms, allowance, settings.session_gap)
     }
 
