--- a/crates/cloverpost-core/src/budget/credit.rs
+++ b/crates/cloverpost-core/src/budget/credit.rs
@@ -4,10 +4,6 @@
 use crate::budget::recent::Recent;
 use crate::time;
 
-/// Part of what may be kept that stays for requests that fail, as others ask for a better answer
-/// than the one that they have.
-const RESERVE: f64 = 0.5;
-
 /// What one VM may send again to one service.
 ///
 /// Each first send earns a part of a repeat, and little is kept. In any window a VM sends at most
@@ -47,33 +43,20 @@
         self.kept += terms.earned();
     }
 
-    /// Takes one repeat for a request that failed; `false` if no whole one is left.
+    /// Takes one repeat; `false` if no whole one is left.
     #[must_use]
     pub fn repeat(&mut self, terms: &Terms, now: time::Moment) -> bool {
         self.settle(terms, now);
-        self.take(0.0)
-    }
-
-    /// Takes one repeat for a better answer; `false` if less than [`RESERVE`] would be left.
-    #[must_use]
-    pub fn improve(&mut self, terms: &Terms, now: time::Moment) -> bool {
-        let most = self.settle(terms, now);
-        self.take(most * RESERVE)
-    }
-
-    fn take(&mut self, reserve: f64) -> bool {
-        let is_left = self.kept >= 1.0 + reserve;
+        let is_left = self.kept >= 1.0;
         if is_left {
             self.kept -= 1.0;
         }
         is_left
     }
 
-    /// Drops what is more than may be kept; how much that is.
-    fn settle(&mut self, terms: &Terms, now: time::Moment) -> f64 {
+    /// Drops what is more than may be kept.
+    fn settle(&mut self, terms: &Terms, now: time::Moment) {
         let firsts = self.recent.count(terms.window, now);
-        let most = terms.most_kept(firsts);
-        self.kept = self.kept.min(most);
-        most
+        self.kept = self.kept.min(terms.most_kept(firsts));
     }
 }
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -168,30 +168,18 @@
         self.with_credit(service, |credit, terms| credit.first(terms, now));
     }
 
-    /// Takes one repeated send of `job`, which failed, from the budget; `false` if none is left.
+    /// Takes one repeated send of `job` from the budget; `false` if none is left.
     pub fn may_repeat(&self, job: &Job) -> bool {
         let now = self.clock.now();
-        let granted = self.with_credit(&job.service, |credit, terms| credit.repeat(terms, now));
-        self.note_repeat(job, granted)
-    }
-
-    /// The same for a better answer to `job`, for which part of the budget is left alone.
-    pub fn may_improve(&self, job: &Job) -> bool {
-        let now = self.clock.now();
-        let granted = self.with_credit(&job.service, |credit, terms| credit.improve(terms, now));
-        self.note_repeat(job, granted)
-    }
-
-    /// Counts whether the budget `granted` a repeat of `job`.
-    fn note_repeat(&self, job: &Job, granted: bool) -> bool {
-        let service = job.service.as_str();
+        let service = &job.service;
+        let granted = self.with_credit(service, |credit, terms| credit.repeat(terms, now));
         let result = if granted { "granted" } else { "refused" };
         let repeats = &self.metrics.repeats;
-        repeats.with_label_values(&[service, result]).inc();
+        repeats.with_label_values(&[service.as_str(), result]).inc();
         if !granted {
             log::info!(
-                id = job.asked.id.as_str(), service, fleet = self.metrics.fleet.get(),
-                slack = self.metrics.repeat_slack.get();
+                id = job.asked.id.as_str(), service = service.as_str(),
+                fleet = self.metrics.fleet.get(), slack = self.metrics.repeat_slack.get();
                 "the retry budget has no repeat left"
             );
         }
--- a/crates/cloverpost/src/gateway/stream/escalate.rs
+++ b/crates/cloverpost/src/gateway/stream/escalate.rs
@@ -63,7 +63,7 @@
         target: job.route.target_latency,
     };
     let weighed = escalation::weigh(&case, options);
-    let asks = weighed.is_worth_it() && shared.may_improve(job);
+    let asks = weighed.is_worth_it() && shared.may_repeat(job);
     log::info!(
         id = job.asked.id.as_str(), confidence, gain = weighed.gain, cost = weighed.cost,
         price = case.price, lasts_s = case.lasts.as_secs_f64(), delay_ms = answer::millis(case.delay), asks;
