--- a/crates/cloverpost-core/src/budget/credit.rs
+++ b/crates/cloverpost-core/src/budget/credit.rs
@@ -31,11 +31,6 @@
         }
     }
 
-    /// Adds `repeats` to what is kept.
-    pub fn deposit(&mut self, repeats: f64) {
-        self.kept += repeats;
-    }
-
     /// Notes a first send.
     pub fn first(&mut self, terms: &Terms, now: time::Moment) {
         self.settle(terms, now);
--- a/crates/cloverpost-core/tests/behaviour/budget/credit.rs
+++ b/crates/cloverpost-core/tests/behaviour/budget/credit.rs
@@ -107,8 +107,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(512) })]
 
-    // A fleet whose VMs are killed at any moment, and forget what they have sent again, keeps in
-    // every window to the share of the requests of that window or the one before, plus the slack.
+    // VMs that are killed forget what they have sent again, and must not spend it anew.
     #[test]
     fn no_window_holds_more_repeats_than_allowed(
         vms in 1..8_usize,
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -152,8 +152,8 @@
             share: settings.exposure_share,
             slack: self.fleet().part(settings.exposure_slack),
         };
-        let age = self.clock.now();
-        let allowance = allowance.of_process(now_ms.saturating_sub(millis(age)), rollout);
+        let since_ms = now_ms.saturating_sub(millis(self.clock.now()));
+        let allowance = allowance.of_process(since_ms, rollout);
         exposure::stage(rollout, now_ms, allowance, settings.session_gap)
     }
 
