fix(cloverpost): an answer that takes long is given up only if it can be asked for elsewhere

Callers lost answers that were on their way. A stream whose upstream was silent for 2.5 s, and a look-up at half of its time, was given up so that another upstream could be asked; then the retry budget refused the repeat, and the caller got a cut stream or a 504. With credit in place of the window a VM has no repeat left more often.

Now such a send is given up when a repeat is at hand; until then it is looked at again and again, and the answer is taken if it comes. That the upstream is silent is noted at once, as before.

--- a/crates/cloverpost-core/src/budget/credit.rs
+++ b/crates/cloverpost-core/src/budget/credit.rs
@@ -38,11 +38,17 @@
         self.kept += terms.earned();
     }
 
+    /// Whether a whole repeat is left.
+    #[must_use]
+    pub fn has_repeat(&mut self, terms: &Terms, now: time::Moment) -> bool {
+        self.settle(terms, now);
+        self.kept >= 1.0
+    }
+
     /// Takes one repeat; `false` if no whole one is left.
     #[must_use]
     pub fn repeat(&mut self, terms: &Terms, now: time::Moment) -> bool {
-        self.settle(terms, now);
-        let is_left = self.kept >= 1.0;
+        let is_left = self.has_repeat(terms, now);
         if is_left {
             self.kept -= 1.0;
         }
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -22,6 +22,8 @@
 /// which one that waits for a stream there goes elsewhere. Engines that read a
 /// prompt of 50,000 tokens have been seen silent for 1.3 s.
 pub const SILENCE: Duration = Duration::from_millis(2500);
+/// Shortest pause between looks at a silent upstream.
+pub const LOOK: Duration = Duration::from_millis(20);
 /// Multiple of the target latency for which a stream's first event is awaited,
 /// whatever the upstream does for others. Beyond it the answer is late anyway.
 const FIRST_EVENT: u32 = 2;
@@ -148,7 +150,9 @@
     })
 }
 
-/// Waits until it makes no sense to wait longer for the head of an answer.
+/// Waits until it makes no sense to wait longer for the head of an answer: its time is over, or
+/// it takes too long and may be asked for elsewhere. Given up with no repeat left, it would fail
+/// although it may still come.
 async fn patience<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
@@ -166,6 +170,7 @@
         let half = job.ends.since(job.started) / 2;
         (half, half)
     };
+    let mut is_noted = false;
     loop {
         let now = shared.clock.now();
         let left = job.ends.since(now);
@@ -173,17 +178,23 @@
             return Failure::TimedOut;
         }
         let silence = shared.balance().silence(&place.upstream.id, sent, now);
-        if silence >= silence_limit {
-            place.note(Event::Silent);
-            return Failure::TimedOut;
-        }
         let waited = now.since(sent);
-        if waited >= limit {
-            place.note(Event::Failed);
-            return Failure::TimedOut;
+        let is_silent = silence >= silence_limit;
+        if is_silent || waited >= limit {
+            if !std::mem::replace(&mut is_noted, true) {
+                place.note(if is_silent {
+                    Event::Silent
+                } else {
+                    Event::Failed
+                });
+            }
+            if shared.has_repeat(&job.service) {
+                return Failure::TimedOut;
+            }
         }
         let rest = silence_limit.saturating_sub(silence);
-        tokio::time::sleep(left.min(rest).min(limit.saturating_sub(waited))).await;
+        let rest = rest.min(limit.saturating_sub(waited)).max(LOOK);
+        tokio::time::sleep(left.min(rest)).await;
     }
 }
 
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -186,6 +186,12 @@
         granted
     }
 
+    /// Whether a send to `service` may be repeated now.
+    pub fn has_repeat(&self, service: &id::Pool) -> bool {
+        let now = self.clock.now();
+        self.with_credit(service, |credit, terms| credit.has_repeat(terms, now))
+    }
+
     fn with_credit<T>(
         &self,
         service: &id::Pool,
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -1,7 +1,6 @@
 //! A stream on its way to the caller.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use cloverpost_core::balance::Event;
@@ -278,14 +277,12 @@
 const PACE_EVENTS: u32 = 4;
 /// The same for a stream that is over.
 const PACE_LEAST: u32 = 2;
-/// Shortest pause between looks at a silent upstream.
-const LOOK: Duration = Duration::from_millis(20);
 
 /// Waits until it makes no sense to wait longer for the next event.
 ///
 /// A stream whose upstream serves others meanwhile waits its turn; one whose
 /// upstream has fallen silent altogether goes elsewhere, since a VM that lost
-/// its power resets nothing.
+/// its power resets nothing. With no repeat left it cannot, and is waited for.
 async fn stalled<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
@@ -293,6 +290,7 @@
     since: time::Moment,
     may_resume: bool,
 ) -> Failure {
+    let mut is_noted = false;
     loop {
         let now = shared.clock.now();
         let left = job.ends.since(now);
@@ -301,10 +299,15 @@
         }
         let silence = shared.balance().silence(&place.upstream.id, since, now);
         if may_resume && silence >= attempt::SILENCE {
-            place.note(Event::Silent);
-            return Failure::Stalled;
+            if !std::mem::replace(&mut is_noted, true) {
+                place.note(Event::Silent);
+            }
+            if shared.has_repeat(&job.service) {
+                return Failure::Stalled;
+            }
         }
-        let rest = attempt::SILENCE.saturating_sub(silence).max(LOOK);
+        let rest = attempt::SILENCE.saturating_sub(silence);
+        let rest = rest.max(attempt::LOOK);
         tokio::time::sleep(left.min(rest)).await;
     }
 }
