feat(cloverpost): lines and metrics tell which upstream states a rate limit and what it gets

An upstream in need names in its answers the requests a second that it takes from all VMs together. Nothing read the field, so neither a log nor a metric told who knew of a limit, since when, or which kind of send went there after. Now: a line as a limit is stated, changes and ends (with the request that told it), a line and `limited_sends_total` for each send to such an upstream, by kind (first, again, resumed), and `limited_upstreams`. No decision uses it yet.

--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -33,4 +33,5 @@
 pub mod rollout;
 pub mod session;
 pub mod spread;
+pub mod throttle;
 pub mod time;
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -14,6 +14,7 @@
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
 use crate::gateway::pool::Connection;
+use crate::gateway::rate_limits;
 use crate::gateway::response;
 use crate::gateway::rollout_evidence::{self, HeadOutcome};
 use crate::gateway::selection;
@@ -54,6 +55,19 @@
     pub last_event: Option<&'a str>,
     /// Whether the job may be retried if this attempt takes too long.
     pub may_retry: bool,
+    /// Number of attempts before this one.
+    pub attempts_before: usize,
+}
+
+impl AttemptOptions<'_> {
+    /// Kind of the attempt, for metrics and the log.
+    fn kind(&self) -> &'static str {
+        match (self.last_event, self.attempts_before) {
+            (Some(_), _) => "resumed",
+            (None, 0) => "first",
+            (None, _) => "again",
+        }
+    }
 }
 
 /// Sends `job` to `upstream` and waits for the response head.
@@ -66,6 +80,7 @@
     let work = prefill_seconds(shared, job, options.model);
     let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), work);
     selection::count_send(shared, job, upstream);
+    rate_limits::record_send(shared, job, upstream, options.kind());
     let sent = shared.clock.now();
     let result = exchange(shared, job, slot, options).await;
     record_result(shared, job, upstream, options, sent, &result);
@@ -115,6 +130,7 @@
     let classification = shared.codec.classify_response(&job.head.id, &head);
     let (is_failure, confidence) = match classification {
         Classification::AtCapacity => {
+            rate_limits::record_response(shared, job, &slot.upstream, sent, &head);
             slot.record(Event::Full);
             return Err(Failure::NotStarted);
         }
@@ -129,6 +145,7 @@
         Classification::Failed => (true, None),
         Classification::Succeeded { confidence } => (false, confidence),
     };
+    rate_limits::record_response(shared, job, &slot.upstream, sent, &head);
     let took = shared.clock.now().since(sent);
     slot.release_work();
     slot.record(Event::Began(took));
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::{choice, id};
+use cloverpost_core::{choice, id, throttle};
 
 /// Decodes requests from callers and responses from upstreams, and encodes requests
 /// to upstreams. Implementations make no routing decisions.
@@ -20,6 +20,9 @@
     /// Classifies the response head for the request `id`.
     fn classify_response(&self, id: &str, head: &http::response::Parts) -> Classification;
 
+    /// The rate limit that the upstream states in a response head.
+    fn stated_limit(&self, head: &http::response::Parts) -> StatedLimit;
+
     /// Whether `path` is the readiness probe of this VM.
     fn is_readiness_probe(&self, path: &str) -> bool;
 }
@@ -128,6 +131,17 @@
     pub last_event: Option<&'a str>,
 }
 
+/// The rate limit of an upstream according to one response.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StatedLimit {
+    /// The response states no limit.
+    Absent,
+    /// Requests per second that the upstream takes from all VMs together.
+    Rate(throttle::Rate),
+    /// The limit is not a rate, so the response says nothing about it.
+    Malformed(String),
+}
+
 /// Classification of a response head.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Classification {
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -51,6 +51,10 @@
     pub escalated: IntCounterVec,
     /// Streams resumed at another upstream, by route.
     pub resumed: IntCounterVec,
+    /// Attempts sent to upstreams that state a rate limit, by service and kind.
+    pub limited_sends: IntCounterVec,
+    /// Upstreams known to state a rate limit.
+    pub limited_upstreams: IntGauge,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
     /// Requests in flight.
@@ -148,6 +152,15 @@
                 "streams that went on at another upstream",
                 &["route"],
             ),
+            limited_sends: counters(
+                "limited_sends_total",
+                "sends to upstreams that state a rate limit, by kind of send",
+                &["service", "kind"],
+            ),
+            limited_upstreams: gauge(
+                "limited_upstreams",
+                "upstreams that are known to state a rate limit",
+            ),
             connections: counter(
                 "upstream_connections_total",
                 "connections opened to upstreams",
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 mod operator_server;
 pub mod pool;
+mod rate_limits;
 mod reload;
 mod response;
 mod rollout_evidence;
--- /dev/null
+++ b/crates/cloverpost/src/gateway/rate_limits.rs
@@ -0,0 +1,66 @@
+//! Rate limits that upstreams state in their responses.
+
+use cloverpost_core::throttle::Change;
+use cloverpost_core::{directory, time};
+
+use crate::gateway::Shared;
+use crate::gateway::codec::{Codec, StatedLimit};
+use crate::gateway::job::Job;
+
+/// Counts and logs a send to `upstream` if it states a limit.
+pub fn record_send<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    kind: &'static str,
+) {
+    let Some(rate) = shared.throttle().rate(&upstream.id) else {
+        return;
+    };
+    let sends = &shared.metrics.limited_sends;
+    sends.with_label_values(&[job.service.as_str(), kind]).inc();
+    log::info!(
+        id = job.head.id.as_str(), upstream = upstream.id.as_str(), limit:% = rate, kind;
+        "request is sent to an upstream with a rate limit"
+    );
+}
+
+/// Records the limit that `upstream` states in the head of a response to a request sent at `sent`.
+pub fn record_response<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    sent: time::Moment,
+    head: &http::response::Parts,
+) {
+    let id = job.head.id.as_str();
+    let stated = match shared.codec.stated_limit(head) {
+        StatedLimit::Absent => None,
+        StatedLimit::Rate(rate) => Some(rate),
+        StatedLimit::Malformed(value) => {
+            log::warn!(
+                id, upstream = upstream.id.as_str(), value;
+                "the upstream's rate limit cannot be read, what was known of it stays"
+            );
+            return;
+        }
+    };
+    let now = shared.clock.now();
+    let (change, count) = {
+        let mut throttle = shared.throttle();
+        let change = throttle.record_response(&upstream.id, stated, sent, now);
+        (change, throttle.count())
+    };
+    let gauge = &shared.metrics.limited_upstreams;
+    gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    let upstream = upstream.id.as_str();
+    match change {
+        Some(Change::Stated(rate)) => {
+            log::info!(id, upstream, limit:% = rate; "the upstream states a rate limit");
+        }
+        Some(Change::Ended) => {
+            log::info!(id, upstream; "the upstream no longer states a rate limit");
+        }
+        None => {}
+    }
+}
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -6,7 +6,9 @@
 
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
-use cloverpost_core::{balance, budget, cold, directory, escalation, exposure, id, poison, time};
+use cloverpost_core::{
+    balance, budget, cold, directory, escalation, exposure, id, poison, throttle, time,
+};
 use tokio::sync::watch;
 
 use crate::clock::Clock;
@@ -59,6 +61,7 @@
     balancer: Mutex<balance::Balancer>,
     speed: Mutex<balance::Speed>,
     cold: Mutex<cold::Register>,
+    throttle: Mutex<throttle::Register>,
     sizes: Mutex<escalation::Sizes>,
     caller_retries: Mutex<escalation::Retries>,
     /// The current process of each upstream.
@@ -103,6 +106,7 @@
             balancer: Mutex::new(balancer),
             speed: Mutex::default(),
             cold: Mutex::new(cold),
+            throttle: Mutex::default(),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
             processes: Mutex::default(),
@@ -136,6 +140,11 @@
         lock(&self.cold)
     }
 
+    /// Rate limits that upstreams state.
+    pub fn throttle(&self) -> MutexGuard<'_, throttle::Register> {
+        lock(&self.throttle)
+    }
+
     /// Typical request sizes by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -216,6 +216,7 @@
             model: self.model.as_ref(),
             last_event: self.splitter.last_id(),
             may_retry: self.dispatch.may_run_again(),
+            attempts_before: self.tried.len() - 1,
         };
         let response = attempt::send(&self.shared, &self.job, upstream, options).await?;
         if response.is_failure {
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -48,6 +48,7 @@
             model: model.as_ref(),
             last_event: None,
             may_retry: dispatch.may_run_again(),
+            attempts_before: tried.len() - 1,
         };
         let failure = match attempt::send(shared, &job, &upstream, options).await {
             Ok(response) if response.is_failure => {
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -61,6 +61,7 @@
         tried.push(upstream.id.clone());
         let options = AttemptOptions {
             may_retry: dispatch.may_run_again(),
+            attempts_before: tried.len() - 1,
             ..AttemptOptions::default()
         };
         let result = match attempt::send(shared, job, &upstream, options).await {
