fix(cloverpost): upstreams that state a rate limit get that rate from all VMs together

Now the rate is divided without a message: as many senders as the tolerated requests allow, drawn by a hash of upstream and VM, pace equal parts of it and start one after the other. Every send asks: first ones, retries, larger models, streams that go on, trial sends. What a VM cannot see, others tell: those that get answers report limits, changes and ends to the watchers of their zone, who tell all and repeat it each 2 s. A limit has ended after two answers in a row to later requests without it; then the rate doubles each half second for 1.5 s. Without news for 20 s all VMs take turns at half the rate.

What cannot be served is rejected at once with a time to return; these times follow each other at the service's rate, so that not all return together. An answer is no longer dropped for a larger model, nor a silent upstream given up, if no upstream would take the request. Settings: limit-overage, limit-slack, limit-window-s.

--- a/crates/cloverpost-core/src/cold/mod.rs
+++ b/crates/cloverpost-core/src/cold/mod.rs
@@ -10,9 +10,7 @@
 mod limit;
 mod options;
 mod register;
-mod senders;
 
 pub use limit::Limit;
 pub use options::Options;
 pub use register::Register;
-pub use senders::Senders;
--- a/crates/cloverpost-core/src/cold/register.rs
+++ b/crates/cloverpost-core/src/cold/register.rs
@@ -1,10 +1,11 @@
 //! Tracks cold upstreams and the requests this VM has sent to them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::cold::{Limit, Options, Senders};
+use crate::cold::{Limit, Options};
 use crate::directory::{Upstream, View};
+use crate::quota::{RecentSends, Senders};
 use crate::{id, time};
 
 /// Window over which sends are counted: one second plus an allowance for network delay.
@@ -32,16 +33,7 @@
     /// Whether this VM is one of its senders.
     is_sender: bool,
     upstream: Upstream,
-    /// Times of this VM's sends within the window.
-    sent: VecDeque<time::Moment>,
-}
-
-impl ColdUpstream {
-    fn recent_sends(&self, now: time::Moment) -> usize {
-        let sent = self.sent.iter().rev();
-        sent.take_while(|sent| now.since(**sent) < SEND_WINDOW)
-            .count()
-    }
+    sent: RecentSends,
 }
 
 /// Tracks cold upstreams and the requests this VM has sent to them.
@@ -185,7 +177,7 @@
             is_suspect: false,
             is_sender: self.senders.includes_self(upstream, senders),
             upstream: upstream.clone(),
-            sent: VecDeque::new(),
+            sent: RecentSends::default(),
         })
     }
 
@@ -224,20 +216,14 @@
 
     fn is_within_quota(&self, cold: &ColdUpstream, now: time::Moment) -> bool {
         let warm_up = self.services.get(&cold.upstream.service);
-        warm_up.is_some_and(|warm_up| cold.recent_sends(now) < warm_up.limit.per_sender)
+        let sent = cold.sent.count(SEND_WINDOW, now);
+        warm_up.is_some_and(|warm_up| sent < warm_up.limit.per_sender)
     }
 
     /// Records a send to `upstream`.
     pub fn record_send(&mut self, upstream: &id::Upstream, now: time::Moment) {
         if let Some(cold) = self.upstreams.get_mut(upstream) {
-            while cold
-                .sent
-                .front()
-                .is_some_and(|sent| now.since(*sent) >= SEND_WINDOW)
-            {
-                cold.sent.pop_front();
-            }
-            cold.sent.push_back(now);
+            cold.sent.record(SEND_WINDOW, now);
         }
     }
 }
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod overload;
 pub mod plan;
 pub mod poison;
+pub mod quota;
 pub mod refusal;
 pub mod rollout;
 pub mod session;
--- a/crates/cloverpost-core/src/cold/senders.rs
+++ b/crates/cloverpost-core/src/quota/senders.rs
@@ -1,4 +1,4 @@
-//! Selection of the VMs that may send to a cold upstream.
+//! Selection of the VMs that may send to an upstream.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -26,14 +26,28 @@
     /// rank first. A VM that is not in the member list is never a sender.
     #[must_use]
     pub fn includes_self(&self, upstream: &Upstream, count: usize) -> bool {
-        let key = |(vm, zone): &(id::Vm, id::AvailabilityZone)| {
-            (*zone != upstream.zone, rank_hash(&upstream.id, vm))
-        };
-        let Some(own) = self.vms.iter().find(|(vm, _)| *vm == self.own) else {
-            return false;
-        };
-        let own = key(own);
-        self.vms.iter().filter(|one| key(one) < own).count() < count
+        let rank = self.rank_by(|vm, zone| (*zone != upstream.zone, rank_hash(&upstream.id, vm)));
+        rank.is_some_and(|rank| rank < count)
+    }
+
+    /// Rank of this VM among all senders to `upstream`, whatever their availability zones, so that
+    /// callers of every zone reach a sender. `None` if this VM is not in the member list.
+    #[must_use]
+    pub fn rank(&self, upstream: &id::Upstream) -> Option<usize> {
+        self.rank_by(|vm, _| rank_hash(upstream, vm))
+    }
+
+    /// Number of candidates.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.vms.len()
+    }
+
+    fn rank_by<K: Ord>(&self, key: impl Fn(&id::Vm, &id::AvailabilityZone) -> K) -> Option<usize> {
+        let (own, zone) = self.vms.iter().find(|(vm, _)| *vm == self.own)?;
+        let own = key(own, zone);
+        let before = self.vms.iter().filter(|(vm, zone)| key(vm, zone) < own);
+        Some(before.count())
     }
 }
 
--- a/crates/cloverpost-core/tests/behaviour/cold/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/cold/mod.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use cloverpost_core::cold::{Limit, Options, Register, Senders};
+use cloverpost_core::cold::{Limit, Options, Register};
 use cloverpost_core::directory::{
     Configuration, Evacuation, Image, Member, Row, Service, Size, Upstream, Version, View,
 };
+use cloverpost_core::quota::Senders;
 use cloverpost_core::time;
 use proptest::prelude::*;
 use rstest::rstest;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -25,3 +25,4 @@
 mod rollout;
 mod session;
 mod spread;
+mod throttle;
--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between VMs.
 
 use cloverpost_core::{
-    balance, billing, directory, evidence, exposure, membership, poison, rollout, spread,
+    balance, billing, directory, evidence, exposure, membership, poison, rollout, spread, throttle,
 };
 
 use crate::hello;
@@ -32,4 +32,6 @@
     Exposure(exposure::Message),
     /// Load reports of upstreams.
     Balance(balance::Message),
+    /// Rate limits that upstreams state.
+    Throttle(Vec<throttle::Notice>),
 }
--- a/crates/cloverpost/src/control/dispatch.rs
+++ b/crates/cloverpost/src/control/dispatch.rs
@@ -28,7 +28,10 @@
             }
             Message::Halts(halts) => front.ratings.receive_halts(halts),
             Message::Evidence(digest) => front.ratings.receive(from, digest),
-            Message::Directory(_) | Message::Exposure(_) | Message::Balance(_) => {
+            Message::Directory(_)
+            | Message::Exposure(_)
+            | Message::Balance(_)
+            | Message::Throttle(_) => {
                 log::debug!("ignored message from {from}: only used in gateway mode");
             }
             Message::Hello(_) => log::debug!("ignored repeated hello from {from}"),
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -130,7 +130,7 @@
     let classification = shared.codec.classify_response(&job.head.id, &head);
     let (is_failure, confidence) = match classification {
         Classification::AtCapacity => {
-            rate_limits::record_response(shared, job, &slot.upstream, sent, &head);
+            rate_limits::record_response(shared, job, &slot.upstream, sent, &head, true);
             slot.record(Event::Full);
             return Err(Failure::NotStarted);
         }
@@ -145,7 +145,7 @@
         Classification::Failed => (true, None),
         Classification::Succeeded { confidence } => (false, confidence),
     };
-    rate_limits::record_response(shared, job, &slot.upstream, sent, &head);
+    rate_limits::record_response(shared, job, &slot.upstream, sent, &head, false);
     let took = shared.clock.now().since(sent);
     slot.release_work();
     slot.record(Event::Began(took));
@@ -178,8 +178,8 @@
 }
 
 /// Completes when the attempt should be abandoned: at the job's deadline, or when the response
-/// head is overdue and the retry budget allows a retry. If no retry is left, keeps waiting, since
-/// the response may still arrive.
+/// head is overdue and the job may be sent again. Otherwise keeps waiting, since the response may
+/// still arrive.
 async fn wait_for_head_timeout<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
@@ -218,7 +218,7 @@
                     Event::Failed
                 });
             }
-            if shared.has_retry(&job.service) {
+            if selection::may_send_again(shared, job) {
                 return Failure::TimedOut;
             }
         }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod periodic;
 mod quarantine;
+mod rate_limits;
 mod tables;
 mod view_log;
 mod writes;
@@ -79,6 +80,8 @@
     store_contact_resumed: Option<time::Moment>,
     last_eviction: time::Moment,
     last_evidence: time::Moment,
+    /// When this VM, as a watcher, last repeated the rate limits of upstreams.
+    last_rate_limits: time::Moment,
     last_request: time::Moment,
     requests: peer_requests::PeerRequests,
     /// The encoded configuration, served to peers in pieces.
@@ -138,6 +141,7 @@
             store_contact_resumed: None,
             last_eviction: time::Moment::default(),
             last_evidence: time::Moment::default(),
+            last_rate_limits: time::Moment::default(),
             last_request: time::Moment::default(),
             requests: peer_requests::PeerRequests::default(),
             configuration_encodings: Encodings::default(),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -171,6 +171,14 @@
                 self.merge_crash_facts(&from, facts);
                 return;
             }
+            Message::Throttle(notices) => {
+                let from = peer::Target {
+                    vm: incoming.from.vm,
+                    address: incoming.from.address,
+                };
+                self.merge_rate_limits(&from, notices);
+                return;
+            }
             Message::Exposure(message) => {
                 self.merge_exposure(incoming.from.vm, message);
                 return;
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -53,6 +53,7 @@
         self.request_from_watcher(myself);
         self.continue_requests(myself);
         self.share_loads();
+        self.share_rate_limits(now);
         self.update_followed_topics();
         if now.since(self.last_heartbeat_sent) > HEARTBEAT_INTERVAL {
             self.send_heartbeats();
@@ -63,6 +64,7 @@
             self.context.shared.pool.evict_expired(&view);
             self.context.shared.balancer().retain(&view);
             self.context.shared.quarantine.prune(now);
+            self.context.shared.throttle().retain(&view, now);
         }
         self.context
             .shared
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -77,7 +77,7 @@
         }
     }
 
-    fn is_watcher(&self) -> bool {
+    pub(super) fn is_watcher(&self) -> bool {
         self.image.members.is_watcher(&self.context.own)
     }
 
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -6,7 +6,7 @@
 use cloverpost_core::directory::{
     Configuration, Member, Page, Unreadable, Update, Upstream, View, watchers,
 };
-use cloverpost_core::{cold, directory, time};
+use cloverpost_core::{directory, quota, time};
 use tokio::sync::watch;
 
 use crate::gateway::codec::Codec;
@@ -212,12 +212,13 @@
         }
         let fleet = self.image.members.fleet(&self.context.own);
         self.context.shared.set_fleet(fleet);
-        self.update_cold_senders();
+        self.update_senders();
         self.update_followed_topics();
     }
 
-    /// Recomputes which VMs send to cold upstreams if the member list has changed.
-    fn update_cold_senders(&mut self) {
+    /// Recomputes which VMs send to cold upstreams and to those that state rate limits if the member
+    /// list has changed.
+    fn update_senders(&mut self) {
         let members = &self.image.members;
         if self.senders_version == members.changed {
             return;
@@ -225,8 +226,10 @@
         self.senders_version = members.changed;
         let own = self.context.own.vm.clone();
         let members = members.rows.values().map(|row| &row.value);
-        let senders = cold::Senders::new(own, members);
-        self.context.shared.cold().set_senders(senders);
+        let senders = quota::Senders::new(own, members);
+        let shared = &self.context.shared;
+        shared.cold().set_senders(senders.clone());
+        shared.throttle().set_senders(senders, self.now());
     }
 
     /// Returns whether the operators' orders have been received. Configuration and upstreams can
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,8 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod rate_limits;
+
 use std::sync::Arc;
 
 use prometheus::{
@@ -12,6 +14,8 @@
 
 use crate::peer;
 
+pub use rate_limits::RateLimits;
+
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0,
@@ -51,10 +55,8 @@
     pub escalated: IntCounterVec,
     /// Streams resumed at another upstream, by route.
     pub resumed: IntCounterVec,
-    /// Attempts sent to upstreams that state a rate limit, by service and kind.
-    pub limited_sends: IntCounterVec,
-    /// Upstreams known to state a rate limit.
-    pub limited_upstreams: IntGauge,
+    /// Rate limits that upstreams state.
+    pub rate_limits: RateLimits,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
     /// Requests in flight.
@@ -105,9 +107,6 @@
         let counter = |name: &str, help: &str| register(&registry, IntCounter::new(name, help));
         let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
         let number = |name: &str, help: &str| register(&registry, Gauge::new(name, help));
-        let buckets = |name: &str, help: &str| {
-            HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
-        };
         Self {
             requests: counters(
                 "requests_total",
@@ -152,15 +151,7 @@
                 "streams that went on at another upstream",
                 &["route"],
             ),
-            limited_sends: counters(
-                "limited_sends_total",
-                "sends to upstreams that state a rate limit, by kind of send",
-                &["service", "kind"],
-            ),
-            limited_upstreams: gauge(
-                "limited_upstreams",
-                "upstreams that are known to state a rate limit",
-            ),
+            rate_limits: RateLimits::register(&registry),
             connections: counter(
                 "upstream_connections_total",
                 "connections opened to upstreams",
@@ -227,6 +218,10 @@
     }
 }
 
+fn buckets(name: &str, help: &str) -> HistogramOpts {
+    HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
+}
+
 fn register<T: prometheus::core::Collector + Clone + 'static>(
     registry: &Registry,
     metric: prometheus::Result<T>,
--- a/crates/cloverpost/src/gateway/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/rate_limits.rs
@@ -14,10 +14,11 @@
     upstream: &directory::Upstream,
     kind: &'static str,
 ) {
-    let Some(rate) = shared.throttle().rate(&upstream.id) else {
+    let now = shared.clock.now();
+    let Some(rate) = shared.throttle().rate(&upstream.id, now) else {
         return;
     };
-    let sends = &shared.metrics.limited_sends;
+    let sends = &shared.metrics.rate_limits.sends;
     sends.with_label_values(&[job.service.as_str(), kind]).inc();
     log::info!(
         id = job.head.id.as_str(), upstream = upstream.id.as_str(), limit:% = rate, kind;
@@ -26,15 +27,18 @@
 }
 
 /// Records the limit that `upstream` states in the head of a response to a request sent at `sent`.
+/// A rejection without a limit does not show that the limit has ended.
 pub fn record_response<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     sent: time::Moment,
     head: &http::response::Parts,
+    is_rejection: bool,
 ) {
     let id = job.head.id.as_str();
     let stated = match shared.codec.stated_limit(head) {
+        StatedLimit::Absent if is_rejection => return,
         StatedLimit::Absent => None,
         StatedLimit::Rate(rate) => Some(rate),
         StatedLimit::Malformed(value) => {
@@ -46,13 +50,13 @@
         }
     };
     let now = shared.clock.now();
+    let now_ms = shared.store_now_ms();
     let (change, count) = {
         let mut throttle = shared.throttle();
-        let change = throttle.record_response(&upstream.id, stated, sent, now);
+        let change = throttle.record_response(&upstream.id, stated, sent, now, now_ms);
         (change, throttle.count())
     };
-    let gauge = &shared.metrics.limited_upstreams;
-    gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+    shared.metrics.rate_limits.set_upstreams(count);
     let upstream = upstream.id.as_str();
     match change {
         Some(Change::Stated(rate)) => {
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -252,9 +252,11 @@
     let (taken, places) = selection::occupancy(shared, &job.service);
     let cold = selection::count_cold_upstreams(shared, &job.service);
     let evacuated = shared.view.load().evacuated.len();
+    let limit = selection::stated_rate(shared, &job.service);
+    let limit = limit.map_or_else(String::new, |rate| rate.to_string());
     log::info!(
         id = job.head.id.as_str(), code = refusal.code.as_str(), ran:% = refusal.ran,
-        why = refusal.message.as_str(), service = job.service.as_str(), taken, places, cold, evacuated;
+        why = refusal.message.as_str(), service = job.service.as_str(), taken, places, cold, evacuated, limit;
         "no upstream answered"
     );
     record_job_end(shared, job, refusal.code.as_str(), response);
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -1,12 +1,13 @@
 //! Selection of the upstream for an attempt, including the version during a rollout.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cloverpost_core::balance::Criteria;
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
 use cloverpost_core::dispatch::Dispatch;
 use cloverpost_core::refusal::Refusal;
-use cloverpost_core::{cold, exposure, id};
+use cloverpost_core::{cold, exposure, id, throttle, time};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -41,7 +42,8 @@
     let pool = view.pools.get(&job.service)?;
     let now = shared.clock.now();
     let mut cold = shared.cold();
-    let filter = version_filter(shared, job, pool, &cold);
+    let mut throttle = shared.throttle();
+    let filter = version_filter(shared, job, pool, &cold, &throttle);
     let settings = shared.settings.load();
     let speed = shared.speed();
     let criteria = Criteria {
@@ -66,6 +68,8 @@
             .filter(|upstream| filter.matches(upstream));
         upstreams.filter(|upstream| is_in_load_test(upstream))
     };
+    // What an upstream states binds always, what it is suspected of only while others are left.
+    let usable = || usable().filter(|upstream| throttle.admits(&upstream.id, now));
     let admitted = usable().filter(|upstream| cold.admits(&upstream.id, now));
     let balancer = shared.balancer();
     let chosen = balancer.choose(admitted, &criteria, now).or_else(|| {
@@ -76,6 +80,8 @@
     let chosen = chosen?.clone();
     cold.record_send(&chosen.id, now);
     drop(cold);
+    throttle.record_send(&chosen.id, now);
+    drop(throttle);
     if let Some(session) = job.head.session {
         // Recorded outside rollouts too: a session that started before a rollout keeps
         // its version until all requests go to the new one.
@@ -84,6 +90,30 @@
     Some(chosen)
 }
 
+/// Whether an upstream takes another attempt of `job` now.
+pub fn has_upstream<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
+    let view = shared.view.load();
+    let Some(pool) = view.pools.get(&job.service) else {
+        return false;
+    };
+    let now = shared.clock.now();
+    let cold = shared.cold();
+    let throttle = shared.throttle();
+    let filter = version_filter(shared, job, pool, &cold, &throttle);
+    let mut usable = pool
+        .upstreams
+        .iter()
+        .filter(|upstream| filter.matches(upstream));
+    usable.any(|upstream| {
+        throttle.admits(&upstream.id, now) && cold.admits_as_last_resort(&upstream.id, now)
+    })
+}
+
+/// Whether `job` can be sent again: the retry budget allows it, and an upstream takes it.
+pub fn may_send_again<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
+    shared.has_retry(&job.service) && has_upstream(shared, job)
+}
+
 /// The load test uses one in this many upstreams of the new version.
 const LOAD_TEST_DIVISOR: usize = 2;
 
@@ -182,8 +212,8 @@
     shared.tallies().tally(&key, open_old)
 }
 
-/// The refusal of `job` when no upstream can be selected. If all upstreams are cold, it states
-/// when the first is warm, so that the caller does not retry too early.
+/// The refusal of `job` when no upstream can be selected. If all upstreams are cold or at the rates
+/// that they state, it tells the caller when to return.
 pub fn no_upstream_refusal<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
@@ -195,12 +225,35 @@
     let pool = view.pools.get(&job.service).into_iter();
     let upstreams = pool.flat_map(|pool| &pool.upstreams);
     let warm_up_times = upstreams.map(|upstream| cold.time_until_warm(&upstream.id, now));
+    let warm_up_time = warm_up_times.min().filter(|time| !time.is_zero());
     Refusal {
-        opens_after: warm_up_times.min().filter(|time| !time.is_zero()),
+        opens_after: warm_up_time.or_else(|| time_until_return(shared, job)),
         ..dispatch.no_upstream()
     }
 }
 
+/// When the caller of `job` may return; `None` if no upstream of its service states a rate limit.
+fn time_until_return<C: Codec>(shared: &Shared<C>, job: &Job) -> Option<Duration> {
+    let now = shared.clock.now();
+    let rate = stated_rate(shared, &job.service)?;
+    let vms = usize::try_from(shared.fleet().vms()).unwrap_or(usize::MAX);
+    Some(shared.returns().assign(&job.service, rate, vms, now))
+}
+
+/// The sum of the rate limits that upstreams of `service` state; `None` if none does.
+pub fn stated_rate<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> Option<throttle::Rate> {
+    let view = shared.view.load();
+    let now = shared.clock.now();
+    let throttle = shared.throttle();
+    let upstreams = view.pools.get(service).into_iter();
+    let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
+    let rates = upstreams.filter_map(|upstream| throttle.rate(&upstream.id, now));
+    let sum = rates
+        .map(throttle::Rate::per_second)
+        .reduce(|sum, rate| sum + rate)?;
+    throttle::Rate::try_from(sum).ok()
+}
+
 /// Number of upstreams of `service` that are cold or suspected to be.
 pub fn count_cold_upstreams<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> usize {
     let view = shared.view.load();
@@ -226,12 +279,13 @@
     job: &Job,
     pool: &Pool,
     cold: &cold::Register,
+    throttle: &throttle::Register,
 ) -> VersionFilter {
     match &pool.allowed {
         Allowed::Any => VersionFilter::Any,
         Allowed::Only(version) => VersionFilter::Only(version.clone()),
         Allowed::Except(version) => VersionFilter::Except(version.clone()),
-        Allowed::Rollout(rollout) => rollout_filter(shared, job, pool, rollout, cold),
+        Allowed::Rollout(rollout) => rollout_filter(shared, job, pool, rollout, cold, throttle),
     }
 }
 
@@ -243,6 +297,7 @@
     pool: &Pool,
     rollout: &Rollout,
     cold: &cold::Register,
+    throttle: &throttle::Register,
 ) -> VersionFilter {
     pin_session(shared, job, rollout);
     let now = shared.clock.now();
@@ -267,13 +322,38 @@
     if is_regressed || !has(&new) || !admits(&new) && has(&old) {
         return old;
     }
-    if uses_new_version(shared, job, pool, rollout) || !has(&old) {
+    if !has(&old) {
+        return new;
+    }
+    let mut candidates = pool
+        .upstreams
+        .iter()
+        .filter(|upstream| new.matches(upstream));
+    // While the new version's upstreams are at the rates that they state, only the sessions that run
+    // on it have to wait for them.
+    let takes_more = candidates.any(|upstream| throttle.admits(&upstream.id, now));
+    let uses_new = uses_new_version(shared, job, pool, rollout);
+    if uses_new && (takes_more || runs_on(shared, job, &rollout.target, now)) {
         new
     } else {
         old
     }
 }
 
+/// Whether the session of `job` runs on `version`.
+fn runs_on<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    version: &id::Version,
+    now: time::Moment,
+) -> bool {
+    let gap = shared.settings.load().session_gap;
+    job.head.session.is_some_and(|session| {
+        let sessions = shared.sessions();
+        sessions.version(session, now, gap) == Some(version)
+    })
+}
+
 /// Pins a session that hashes to the new version to the old one while the stage pins sessions.
 ///
 /// A VM without a usable upstream of the new version pins too: the session's next request may
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -7,7 +7,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cloverpost_core::{balance, cold, directory, escalation, id};
+use cloverpost_core::{balance, cold, directory, escalation, id, throttle};
 
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,6 +46,8 @@
     pub exposure_slack: f64,
     /// Load allowed on a cold upstream beyond the rate of its service; read only at startup.
     pub cold: cold::Options,
+    /// Load allowed on an upstream beyond the rate limit that it states; read only at startup.
+    pub throttle: throttle::Options,
     /// Weights for choosing an upstream; read only at startup.
     pub choice: balance::Options,
     /// Weights for choosing a model.
@@ -107,6 +109,7 @@
 const NAME_FORM: &str = "1 to 64 characters of a-z A-Z 0-9 . _ -";
 const SECONDS_FORM: &str = "a number of seconds from 0 to 86400";
 const SHARE_FORM: &str = "a number from 0 to 1";
+const OVERAGE_FORM: &str = "a number from 0 to 100";
 const WORTH_FORM: &str = "a number from 0 to 1000000";
 const WEIGHT_FORM: &str = "a number from 0 to 1000";
 /// Accepted form of a model's confidence.
@@ -116,7 +119,7 @@
 const BOOL_FORM: &str = "true or false";
 
 /// All setting names.
-const SETTING_NAMES: [&str; 38] = [
+const SETTING_NAMES: [&str; 41] = [
     "vm",
     "zone",
     "caller-addr",
@@ -135,6 +138,9 @@
     "exposure-slack",
     "cold-overage",
     "cold-slack",
+    "limit-overage",
+    "limit-slack",
+    "limit-window-s",
     "choice-home",
     "choice-others",
     "choice-far",
@@ -208,6 +214,7 @@
         let exposure_share = self.number("exposure-share", 0.1, 1.0, SHARE_FORM);
         let exposure_slack = self.number("exposure-slack", 0.0, 1e6, "a number from 0 to 1000000");
         let cold = self.cold();
+        let throttle = self.throttle();
         let choice = self.choice();
         let escalation = self.escalation();
         let leave = self.count("leave-ms", 2_000);
@@ -232,6 +239,7 @@
             exposure_share: exposure_share?,
             exposure_slack: exposure_slack?,
             cold: cold?,
+            throttle: throttle?,
             choice: choice?,
             escalation: escalation?,
             leave: Duration::from_millis(leave?.into()),
@@ -281,6 +289,18 @@
         })
     }
 
+    fn throttle(&mut self) -> Option<throttle::Options> {
+        let default = throttle::Options::default();
+        let overage = self.number("limit-overage", default.overage, 100.0, OVERAGE_FORM);
+        let slack = self.number("limit-slack", default.slack, 1e6, WORTH_FORM);
+        let window = self.seconds("limit-window-s", default.window.as_secs_f64());
+        Some(throttle::Options {
+            overage: overage?,
+            slack: slack?,
+            window: window?,
+        })
+    }
+
     fn choice(&mut self) -> Option<balance::Options> {
         let default = balance::Options::default();
         let home = self.number("choice-home", default.home, 1.0, SHARE_FORM);
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    balance, budget, cold, directory, escalation, exposure, id, poison, throttle, time,
+    balance, budget, cold, directory, escalation, exposure, id, poison, quota, throttle, time,
 };
 use tokio::sync::watch;
 
@@ -62,6 +62,7 @@
     speed: Mutex<balance::Speed>,
     cold: Mutex<cold::Register>,
     throttle: Mutex<throttle::Register>,
+    returns: Mutex<throttle::Returns>,
     sizes: Mutex<escalation::Sizes>,
     caller_retries: Mutex<escalation::Retries>,
     /// The current process of each upstream.
@@ -90,8 +91,9 @@
             process: id::Process::new(rand::random()),
         };
         let balancer = balance::Balancer::new(settings.choice);
-        let senders = cold::Senders::new(settings.vm.clone(), std::iter::empty());
-        let cold = cold::Register::new(settings.cold, senders);
+        let senders = quota::Senders::new(settings.vm.clone(), std::iter::empty());
+        let cold = cold::Register::new(settings.cold, senders.clone());
+        let throttle = throttle::Register::new(settings.throttle, senders);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -106,7 +108,8 @@
             balancer: Mutex::new(balancer),
             speed: Mutex::default(),
             cold: Mutex::new(cold),
-            throttle: Mutex::default(),
+            throttle: Mutex::new(throttle),
+            returns: Mutex::default(),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
             processes: Mutex::default(),
@@ -145,6 +148,11 @@
         lock(&self.throttle)
     }
 
+    /// When rejected callers may return to services whose upstreams state rate limits.
+    pub fn returns(&self) -> MutexGuard<'_, throttle::Returns> {
+        lock(&self.returns)
+    }
+
     /// Typical request sizes by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
@@ -249,7 +257,7 @@
     }
 
     /// Returns the VMs that share the fleet's budgets.
-    fn fleet(&self) -> directory::Fleet {
+    pub fn fleet(&self) -> directory::Fleet {
         directory::Fleet::new(self.fleet_vms.load(Ordering::Relaxed))
     }
 
@@ -282,6 +290,7 @@
     /// Discards what was learned about `upstream` after a restart under the same id.
     fn reset_upstream(&self, upstream: &id::Upstream) {
         self.balancer().restart(upstream);
+        self.throttle().restart(upstream, self.clock.now());
         self.pool.close_idle(upstream);
     }
 
--- a/crates/cloverpost/src/gateway/stream/escalate.rs
+++ b/crates/cloverpost/src/gateway/stream/escalate.rs
@@ -10,6 +10,7 @@
 use crate::gateway::codec::{Codec, RequestHead};
 use crate::gateway::job::Job;
 use crate::gateway::response;
+use crate::gateway::selection;
 
 /// Fraction of the target latency after which a request is not escalated: a late response
 /// of a larger model is worth less than a timely one of a small model.
@@ -65,7 +66,9 @@
         target: job.route.target_latency,
     };
     let estimate = escalation::estimate(&inputs, options);
-    let escalates = estimate.is_worthwhile() && shared.try_take_retry(job);
+    let escalates = estimate.is_worthwhile()
+        && selection::has_upstream(shared, job)
+        && shared.try_take_retry(job);
     log::info!(
         id = job.head.id.as_str(), confidence, gain = estimate.gain, cost = estimate.cost,
         price = inputs.price, lasts_s = inputs.response_duration.as_secs_f64(), delay_ms = response::millis(inputs.queueing_delay), asks = escalates;
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -307,7 +307,7 @@
             if !std::mem::replace(&mut is_recorded, true) {
                 slot.record(Event::Silent);
             }
-            if shared.has_retry(&job.service) {
+            if selection::may_send_again(shared, job) {
                 return Failure::Stalled;
             }
         }
