fix(cloverpost): a VM that starts is told the limits with the first tables it asks for

A VM that has just started sends to limited upstreams until an answer tells it, or the next repeat within 2 s.

--- a/crates/cloverpost-core/src/throttle/register.rs
+++ b/crates/cloverpost-core/src/throttle/register.rs
@@ -233,11 +233,13 @@
             .collect()
     }
 
-    /// Drops limits that ended long ago and those of upstreams that are not in `view`.
+    /// Drops limits that ended long ago and those of upstreams that are not in `view`, unless no
+    /// upstreams are known yet.
     pub fn retain(&mut self, view: &View, now: time::Moment) {
         let known: HashSet<_> = view.upstreams().map(|one| &one.id).collect();
-        self.upstreams
-            .retain(|id, limited| known.contains(id) && !limited.is_forgotten(now));
+        self.upstreams.retain(|id, limited| {
+            (known.is_empty() || known.contains(id)) && !limited.is_forgotten(now)
+        });
     }
 
     /// The rate in force for `upstream`.
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -207,6 +207,8 @@
                     returned: self.time_since_recovery(),
                     ..self.image.since(&versions)
                 });
+                // A VM that has just started sends to upstreams without knowing their limits.
+                self.send_all_rate_limits(&target(&from));
                 self.track_unlisted(from);
                 self.reply(incoming.reply, directory::Message::Tell(update));
             }
--- a/crates/cloverpost/src/gateway/control/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/control/rate_limits.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// Sends all known limits to `target`.
+    pub(super) fn send_all_rate_limits(&self, target: &peer::Target) {
+        let notices = self.context.shared.throttle().notices(self.now());
+        self.send_rate_limits(std::slice::from_ref(target), &notices);
+    }
+
     fn send_rate_limits_to_zone(&self, notices: &[Notice]) {
         let own = &self.context.own;
         let members = self.image.members.rows.values().map(|row| &row.value);
