fix(cloverpost-core): a part of a stated rate that is not used is preferred, and a lower rate starts evenly

Where many upstreams serve, or only far senders are drawn, nobody might send to a limited upstream, and the end of its limit would go unnoticed. A sender that has not used its part for an interval now prefers the upstream for one request, as does one that has seen an answer without the limit. As a rate falls, the count of sends under the higher one held all senders back until the same moment: on the rig (9, then 2.1) an upstream got 13 requests in 1.7 s and none in the next 4.5 s, in which its limit ended. Now senders start one after the other, without that count. Tests: an_unused_part_and_a_possible_end_are_preferred, a_lower_rate_is_used_evenly.

--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -98,6 +98,12 @@
             .or_else(|| next_available().map(|(upstream, _)| *upstream))
     }
 
+    /// Whether `upstream` is not ejected.
+    #[must_use]
+    pub fn is_available(&self, upstream: &id::Upstream, now: time::Moment) -> bool {
+        self.load(upstream).is_available(now)
+    }
+
     /// Used and total slots of `upstreams`, counting only this VM's requests as used.
     #[must_use]
     pub fn occupancy<'a>(
--- a/crates/cloverpost-core/src/throttle/pacer.rs
+++ b/crates/cloverpost-core/src/throttle/pacer.rs
@@ -54,6 +54,11 @@
         self.next.since(now + saved)
     }
 
+    /// Whether a send has conformed for longer than the mean interval.
+    pub(super) fn is_overdue(&self, now: time::Moment) -> bool {
+        now.since(self.next) > self.allotment.interval
+    }
+
     pub(super) fn record_send(&mut self, now: time::Moment) {
         self.next = self.next.max(now) + self.allotment.interval;
     }
--- a/crates/cloverpost-core/src/throttle/register.rs
+++ b/crates/cloverpost-core/src/throttle/register.rs
@@ -261,6 +261,20 @@
         self.wait(upstream, now) == Some(Duration::ZERO)
     }
 
+    /// Whether a request should go to `upstream`, which this VM may send to now, rather than to
+    /// others: its limit may have ended, or this VM has not used its part for a while. Where many
+    /// upstreams serve, nobody would notice the end otherwise.
+    #[must_use]
+    pub fn prefers(&self, upstream: &id::Upstream, now: time::Moment) -> bool {
+        let Some(limited) = self.upstreams.get(upstream) else {
+            return false;
+        };
+        let allotment = limited.allotment(self.senders.count(), &self.options, now);
+        allotment.is_some_and(|allotment| {
+            limited.may_verify || limited.pacer.adapted(allotment, now).is_overdue(now)
+        })
+    }
+
     /// Time until this VM may send to `upstream`; `None` if it is none of its senders.
     #[must_use]
     pub fn wait(&self, upstream: &id::Upstream, now: time::Moment) -> Option<Duration> {
@@ -312,11 +326,18 @@
         let known = self.upstreams.entry(upstream.clone());
         let limited =
             known.or_insert_with(|| Limited::new(upstream, status, senders, options, now));
-        let was_limited = limited.status.stated().is_some();
+        let last = limited.status.stated();
         let was_stale = limited.is_stale(now);
         limited.status = status;
         limited.confirmed = now;
-        if !was_limited || was_stale {
+        let has_fallen = last
+            .zip(status.stated())
+            .is_some_and(|(last, rate)| rate < last && is_reported_change(last, rate));
+        // Sends under a higher rate would delay all senders until the same moment.
+        if has_fallen {
+            limited.sent = RecentSends::default();
+        }
+        if last.is_none() || was_stale || has_fallen {
             limited.restart_pacer(senders.count(), options, now);
         }
         limited
--- a/crates/cloverpost-core/tests/behaviour/throttle/fleet.rs
+++ b/crates/cloverpost-core/tests/behaviour/throttle/fleet.rs
@@ -110,6 +110,18 @@
     assert!(peak(&sends) <= tolerated(2.1), "{} sends", peak(&sends));
 }
 
+// Guards against senders that are all held back until the same moment.
+#[test]
+fn a_lower_rate_is_used_evenly() {
+    let mut registers = registers(24);
+    tell(&mut registers, 9.0, 0);
+    greedy_sends(&mut registers, 0, 5_000, 50);
+    tell(&mut registers, 2.1, 5_000);
+    let sends = greedy_sends(&mut registers, 5_000, 17_000, 50);
+    let gaps = sends.windows(2).map(|pair| pair[1] - pair[0]);
+    assert!({ gaps }.max() < Some(1_500), "{sends:?}");
+}
+
 proptest! {
     // Guards against requests saved up under an earlier, higher limit.
     #[test]
--- a/crates/cloverpost-core/tests/behaviour/throttle/register.rs
+++ b/crates/cloverpost-core/tests/behaviour/throttle/register.rs
@@ -79,6 +79,21 @@
     assert!(!register.admits(&upstream(), at(151)));
 }
 
+// Guards against an end that nobody notices because the balancer prefers other upstreams.
+#[test]
+fn an_unused_part_and_a_possible_end_are_preferred() {
+    let mut register = register();
+    respond(&mut register, Some(1.0), 0, 0);
+    assert!(!register.prefers(&upstream(), at(1_000)));
+    assert!(register.prefers(&upstream(), at(3_000)));
+    register.record_send(&upstream(), at(3_000));
+    assert!(!register.prefers(&upstream(), at(3_100)));
+    respond(&mut register, None, 3_000, 3_100);
+    assert!(register.prefers(&upstream(), at(3_100)));
+    respond(&mut register, None, 3_200, 3_300);
+    assert!(!register.prefers(&upstream(), at(10_000)));
+}
+
 #[test]
 fn the_rate_is_raised_in_steps_after_the_end() {
     let mut register = register();
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -70,9 +70,14 @@
     };
     // What an upstream states binds always, what it is suspected of only while others are left.
     let usable = || usable().filter(|upstream| throttle.admits(&upstream.id, now));
-    let admitted = usable().filter(|upstream| cold.admits(&upstream.id, now));
+    let admitted = || usable().filter(|upstream| cold.admits(&upstream.id, now));
     let balancer = shared.balancer();
-    let chosen = balancer.choose(admitted, &criteria, now).or_else(|| {
+    let preferred = admitted().filter(|upstream| {
+        throttle.prefers(&upstream.id, now) && balancer.is_available(&upstream.id, now)
+    });
+    let preferred = balancer.choose(preferred, &criteria, now);
+    let chosen = preferred.or_else(|| balancer.choose(admitted(), &criteria, now));
+    let chosen = chosen.or_else(|| {
         let last_resort = usable().filter(|upstream| cold.admits_as_last_resort(&upstream.id, now));
         balancer.choose(last_resort, &criteria, now)
     });
