docs: comments give back the reasons behind constants and rules

Put back, in today's names, where they still hold: what twenty answers, thirds and half seconds stand for, what was seen without a safeguard (writes and calls of 295 VMs at once, hung calls, missed bad versions), and sizes against links. No code changes.

--- a/crates/cloverpost-core/src/balance/load.rs
+++ b/crates/cloverpost-core/src/balance/load.rs
@@ -5,7 +5,8 @@
 use crate::balance::{Event, Options};
 use crate::time;
 
-/// Weight of a new sample in the moving average of the latency.
+/// Weight of a new sample in the moving average of the latency; about twenty answers make the
+/// average.
 const LATENCY_WEIGHT: f64 = 0.1;
 /// Weight of a new result in the moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.08;
--- a/crates/cloverpost-core/src/balance/options.rs
+++ b/crates/cloverpost-core/src/balance/options.rs
@@ -10,7 +10,8 @@
     pub home: f64,
     /// Weight of the load reported by other VMs, from 0 to 1.
     pub others: f64,
-    /// Penalty for an upstream in another availability zone.
+    /// Penalty for an upstream in another availability zone. The transfer of a 12 kB prompt costs a
+    /// thirtieth of what its answer is worth, and a second of delay costs a third.
     pub far: f64,
     /// Penalty for an upstream with all slots in use, scaled by its utilisation.
     pub running: f64,
--- a/crates/cloverpost-core/src/directory/pending_request.rs
+++ b/crates/cloverpost-core/src/directory/pending_request.rs
@@ -4,9 +4,9 @@
 
 use crate::{id, time};
 
-/// Time after which another peer may be asked as well. A healthy peer answers within 0.1 s under
-/// load, while a failed one is detected only after a second, which is too late for changes that
-/// must arrive within two.
+/// Time after which another peer may be asked as well. A healthy peer answers within 0.1 s while
+/// sixteen VMs ask it over a link of 10 Mbit/s, while a failed one is detected only after a second,
+/// which is too late for changes that must arrive within two.
 const HEDGE_DELAY: Duration = Duration::from_millis(400);
 
 /// The peer that was asked last, until it answers or fails.
--- a/crates/cloverpost-core/src/directory/watchers.rs
+++ b/crates/cloverpost-core/src/directory/watchers.rs
@@ -26,11 +26,12 @@
 pub const STARTUP_TAKEOVER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time for which a VM waits for its own entry in the member list. All VMs of a new site add
 /// themselves within their first second. A VM that computed its rank from an incomplete list would
-/// follow the store unnecessarily.
+/// follow the store unnecessarily; a site of 295 VMs made 2,200 extra calls that way.
 pub const MEMBER_LIST_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Delay between two takeover groups, each twice as large as the one before. It covers a call to
 /// the store and notifying the zone, about 0.1 s, so that later groups rarely have to follow the
-/// store. In a zone of 50, the last group follows 0.75 s after the first.
+/// store. When both watchers of a zone of 50 fail, four VMs replace them; without groups all 48
+/// would follow the store. The last group of such a zone follows 0.75 s after the first.
 const GROUP: Duration = Duration::from_millis(250);
 
 impl Table<Member> {
--- a/crates/cloverpost-core/src/escalation/mod.rs
+++ b/crates/cloverpost-core/src/escalation/mod.rs
@@ -6,8 +6,9 @@
 //! stands for the load: if even the small model was slow, a larger one would delay all requests
 //! queued behind it.
 //!
-//! A fixed confidence threshold would escalate too often under load or too rarely on idle
-//! engines.
+//! A fixed confidence threshold would escalate too often under load or too rarely on idle engines:
+//! in 18 paired runs, a threshold of 20 in place of 60 earned 0.08 less of the worth, but left
+//! little over half as many requests unserved.
 
 mod estimate;
 mod inputs;
--- a/crates/cloverpost-core/src/evidence/baseline.rs
+++ b/crates/cloverpost-core/src/evidence/baseline.rs
@@ -1,15 +1,16 @@
 //! Latency baseline of comparable answers, such as those on one route.
 
-/// Multiple of the median latency above which an answer counts as slow.
+/// Multiple of the median latency above which an answer counts as slow. Prompts differ in length
+/// by as much, but equally on both versions.
 const SLOW_RATIO: f64 = 2.5;
 /// Minimum excess over the median, in seconds. Tolerates the connection setup to a new version
 /// when the median is very low.
 const MIN_EXCESS: f64 = 0.03;
-/// Relative step of the short-term median per sample. A mean would be distorted by a few long
-/// prompts.
+/// Relative step of the short-term median per sample. A few long prompts would
+/// raise a mean so far that answers eight times slower than usual pass.
 const SHORT_TERM_STEP: f64 = 0.03;
-/// Relative step of the long-term median per sample, small enough for short bursts to have
-/// little effect.
+/// Relative step of the long-term median per sample, small enough that a burst of eight seconds
+/// raises the median by half at most.
 const LONG_TERM_STEP: f64 = 0.003;
 /// Number of samples before which both medians use the larger step.
 const WARM_UP_SAMPLES: u32 = 50;
@@ -38,8 +39,8 @@
     }
 
     /// Whether an answer with a latency of `latency` seconds is slow for the old version, if
-    /// `is_old`, or for the new one. Only the old version's samples update the baseline, so that a slow new
-    /// version cannot raise it.
+    /// `is_old`, or for the new one. Only the old version's samples update the baseline, so that a
+    /// slow new version cannot raise it.
     pub fn is_slow(&mut self, latency: f64, is_old: bool) -> bool {
         let median = if is_old {
             self.short_term
--- a/crates/cloverpost-core/src/exposure/aggregators.rs
+++ b/crates/cloverpost-core/src/exposure/aggregators.rs
@@ -37,9 +37,10 @@
 /// Returns how long `own` waits for other VMs to write a state of a rollout of `service`
 /// before it writes that state itself.
 ///
-/// The delays keep VMs from writing at once: only one write succeeds, and the store
-/// limits the write rate of a partition. If no aggregator writes, groups of four, eight and
-/// more VMs follow.
+/// The delays keep VMs from writing at once: only one write succeeds, and the store limits the
+/// write rate of a partition. When 295 VMs all tried to begin a rollout, one write succeeded and
+/// 379 failed, 135 of them because a partition takes no more than 150 a second. If no aggregator
+/// writes, groups of four, eight and more VMs follow.
 #[must_use]
 pub fn write_delay<'a>(
     service: &id::Pool,
--- a/crates/cloverpost-core/src/exposure/stage.rs
+++ b/crates/cloverpost-core/src/exposure/stage.rs
@@ -13,7 +13,8 @@
 /// exposure stays within the allowance.
 const FULL_TRAFFIC_FRACTION: f64 = 0.6;
 /// Remaining fraction of the duration at which the rollout may be marked complete, relative
-/// to the allowed share. The remaining time is needed to write the row.
+/// to the allowed share. The remaining time, such as half a second of sixteen, is needed to write
+/// the row.
 const COMPLETION_REMAINDER: f64 = 0.18;
 /// Remaining fraction of the duration from which few answers suffice for completion,
 /// relative to the allowed share.
@@ -67,7 +68,8 @@
     /// allowance.
     ///
     /// A fixed time would not account for streams still open on the previous version,
-    /// which resume on the new one when the old upstreams stop, nor for bursts.
+    /// which resume on the new one when the old upstreams stop, nor for bursts. At 150 requests
+    /// per second that last 0.6 s, such streams were 80 of 390 allowed requests.
     ///
     /// Returns false for a VM that has sent nothing, because it cannot estimate the
     /// remaining requests.
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -22,7 +22,7 @@
 
 /// Time without data from an upstream, on any of this VM's requests, after which a stream
 /// that waits there is retried on another upstream. It must exceed the silence of an
-/// engine that processes a long prompt.
+/// engine that processes a long prompt, which reaches 1.3 s for 50,000 tokens.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Shortest interval between checks of a silent upstream.
 pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/cloverpost/src/gateway/breaker.rs
+++ b/crates/cloverpost/src/gateway/breaker.rs
@@ -17,8 +17,8 @@
 
 /// Limits calls to an unavailable store. Clones share one state.
 ///
-/// Failed calls are billed too, and a VM follows several tables; retrying each of them separately
-/// during an outage would multiply the calls.
+/// Failed calls are billed too, and a VM follows several tables; if each were retried separately
+/// during an outage, 295 VMs would make some 2,000 failing calls per second.
 #[derive(Clone, Debug, Default)]
 pub struct Breaker(Arc<Inner>);
 
@@ -48,7 +48,8 @@
     }
 
     /// Admits a single probe before other calls. A VM that starts following the store after missed
-    /// heartbeats often does so during an outage.
+    /// heartbeats often does so during an outage: without the probe, three calls of each of 283 VMs
+    /// hung at once.
     pub fn half_open(&self) {
         self.0.is_half_open.store(true, Ordering::Relaxed);
     }
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -15,10 +15,13 @@
 use crate::gateway::store::Store;
 use crate::peer;
 
-/// Number of random peers notified of a change. A VM missed by all of them requests the change
-/// after its heartbeat timeout.
+/// Number of random peers notified of a change. With three, one of six VMs that has no contact with
+/// the store is missed by all others once in a hundred changes; it requests the change after its
+/// heartbeat timeout.
 const CHANGE_FANOUT: usize = 3;
-/// Number of VMs of the availability zone notified after fetching the full upstream table.
+/// Number of VMs of the availability zone notified after fetching the full upstream table. Two
+/// watchers with links of 20 Mbit/s would take three seconds to send 3,000 upstreams to 48 VMs by
+/// themselves.
 const UPSTREAMS_FANOUT: usize = 4;
 /// Minimum interval between heartbeats, since each can trigger a request from every listener.
 const HEARTBEAT_MIN_INTERVAL: Duration = Duration::from_millis(120);
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -28,8 +28,8 @@
 const STALE_AFTER: Duration = Duration::from_secs(4);
 /// Initial backoff after a failed registration; doubles up to [`REGISTER_BACKOFF_MAX`].
 const REGISTER_BACKOFF: Duration = Duration::from_millis(200);
-/// Maximum random delay of the first registration. Spreads the writes of VMs that start together
-/// to stay below the store's rate limit.
+/// Maximum random delay of the first registration. Spreads the writes of VMs that start together,
+/// since a partition of the store takes 150 writes per second.
 const REGISTER_JITTER: Duration = Duration::from_millis(900);
 /// Maximum backoff after a failed registration.
 const REGISTER_BACKOFF_MAX: Duration = Duration::from_secs(2);
@@ -136,7 +136,8 @@
 
 /// Registers this VM whenever the member list lacks it, retrying until the write succeeds.
 ///
-/// Existing rows are not rewritten, because every write is delivered to all followers of the list.
+/// Existing rows are not rewritten, because every write is delivered to all followers of the list:
+/// rewritten by 295 VMs that start together, each follower would get 295 of them.
 pub(super) async fn register<S: Store>(
     store: S,
     own: Member,
--- a/crates/cloverpost/src/gateway/control/writes.rs
+++ b/crates/cloverpost/src/gateway/control/writes.rs
@@ -1,8 +1,8 @@
 //! Schedules the writes that advance rollouts.
 //!
-//! A VM derives its next write from its copy of a row, so without throttling a VM with a stale
-//! copy would repeat the same write on every tick. Each VM also defers a step to the VMs ranked
-//! before it.
+//! A VM derives its next write from its copy of a row, so without throttling a VM with a stale copy
+//! would repeat the same write on every tick: twenty such VMs made 140 writes per second, a third
+//! of what the store takes. Each VM also defers a step to the VMs ranked before it.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -7,8 +7,9 @@
 use cloverpost_core::evidence::{Baseline, Counts, Digest, Ledger, Row, Source};
 use cloverpost_core::{exposure, id, rollout};
 
-/// Upper bound on the probability of halting a rollout of a good version. A false halt only
-/// delays a rollout, whereas a missed bad version affects every caller.
+/// Upper bound on the probability of halting a rollout of a good version. A false halt only delays
+/// a rollout, whereas a missed bad version affects every caller. With 0.01, one in three versions
+/// that answered half of their requests eight times slower was missed.
 const MAX_FALSE_HALT_RATE: f64 = 0.2;
 
 /// Key by which response times are compared.
@@ -20,8 +21,8 @@
     pub route: id::Entry,
     /// Model that responded, if the router chose it.
     pub model: Option<id::Model>,
-    /// Binary logarithm of the length on which the time depends. Lengths within a route vary
-    /// widely, so times are only compared within a size class.
+    /// Binary logarithm of the length on which the time depends. Lengths within a route vary a
+    /// hundredfold: against one median for all, one good answer in seven would look slow.
     pub size: u32,
 }
 
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -33,7 +33,8 @@
 ///
 /// Calls are billed, so pauses limit their rate while keeping changes within their two-second
 /// limit. Upstreams are polled less often if `leave` permits. Tables that grow with the site are
-/// fully read less often to save bandwidth.
+/// fully read less often, since with 3,000 upstreams the bytes of full reads cost more than
+/// anything else.
 fn timing(topic: Topic, leave: Duration) -> Timing {
     let leave_ms = u64::try_from(leave.as_millis()).unwrap_or(u64::MAX);
     let (wait, pause, full_read_s) = match topic {
