feat(cloverpost): metrics count messages to peers by kind, lines tell which request is rejected or released

What was missing to tell the hypotheses of the incident apart: messages by kind, messages dropped for a full queue, the fingerprint of a rejected request, who released a request and why. No decision changes.

--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -35,3 +35,24 @@
     /// Rate limits that upstreams state.
     Throttle(Vec<throttle::Notice>),
 }
+
+impl Message {
+    /// Name of the kind of message, for metrics.
+    #[must_use]
+    pub const fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Membership(_) => "membership",
+            Self::Spread(_) => "catalogue",
+            Self::Billing(_) => "billing",
+            Self::Poison(_) => "crashes",
+            Self::Evidence(_) => "ratings",
+            Self::Halts(_) => "halts",
+            Self::Directory(directory::Message::Fresh(_)) => "heartbeat",
+            Self::Directory(_) => "tables",
+            Self::Exposure(_) => "rollouts",
+            Self::Balance(_) => "loads",
+            Self::Throttle(_) => "rate_limits",
+        }
+    }
+}
--- a/crates/cloverpost/src/gateway/control/peer_requests.rs
+++ b/crates/cloverpost/src/gateway/control/peer_requests.rs
@@ -172,9 +172,11 @@
             directory::Message::Fetch { table, .. } => Some(table),
             _ => None,
         };
+        let message = Message::Directory(message);
+        self.count_message(&message);
         tokio::spawn(async move {
             let started = Instant::now();
-            let result = links.request(&target, &Message::Directory(message)).await;
+            let result = links.request(&target, &message).await;
             let took = started.elapsed();
             let response = match (result, fetched_table) {
                 (Ok(Message::Directory(directory::Message::Tell(update))), None) => {
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -148,6 +148,7 @@
     }
 
     pub(super) fn send(&self, target: &peer::Target, message: &Message) {
+        self.count_message(message);
         if let Err(error) = self.context.links.send(target, message) {
             log::debug!(peer:% = target, why:% = error; "failed to send a message to a peer");
         }
@@ -260,7 +261,14 @@
 
     fn reply(&self, reply: peer::Reply, message: directory::Message) {
         self.context.shared.metrics.peer_responses.inc();
-        reply.send(Message::Directory(message));
+        let message = Message::Directory(message);
+        self.count_message(&message);
+        reply.send(message);
+    }
+
+    pub(super) fn count_message(&self, message: &Message) {
+        let messages = &self.context.shared.metrics.messages;
+        messages.with_label_values(&[message.kind()]).inc();
     }
 
     pub(super) fn peer_targets(&self) -> Vec<peer::Target> {
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -14,6 +14,7 @@
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
 use crate::gateway::control::peers::target;
+use crate::gateway::crashes;
 use crate::gateway::store::Store;
 use crate::peer;
 use crate::quarantine;
@@ -63,6 +64,9 @@
                 Fact::Lift(_) => None,
             };
             let changed = quarantine.merge(fact, now);
+            if let Some(fingerprint) = &changed {
+                crashes::count_change(&self.context.shared, fingerprint);
+            }
             if !self.is_watcher() {
                 continue;
             }
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -22,7 +22,7 @@
 ];
 
 /// Exported counters of peer links.
-const EXPORTED_LINK_COUNTERS: [&str; 8] = [
+const EXPORTED_LINK_COUNTERS: [&str; 10] = [
     "sent",
     "bytes_sent",
     "bytes_received",
@@ -31,6 +31,8 @@
     "lost",
     "timed_out",
     "unanswered",
+    "dropped_oldest",
+    "refused_busy",
 ];
 
 /// All metrics of a gateway.
@@ -81,6 +83,10 @@
     pub peer_requests: IntCounterVec,
     /// Responses sent to requests from peers.
     pub peer_responses: IntCounter,
+    /// Messages to peers, by kind.
+    pub messages: IntCounterVec,
+    /// Requests that were quarantined or released on this VM, by change.
+    pub quarantine_changes: IntCounterVec,
     /// Whether the readiness check passes.
     pub ready: IntGauge,
 }
@@ -194,6 +200,16 @@
                 "control_answers_total",
                 "answers to such questions of peers",
             ),
+            messages: counters(
+                "control_messages_total",
+                "messages queued for peers, by kind",
+                &["kind"],
+            ),
+            quarantine_changes: counters(
+                "quarantine_changes_total",
+                "requests quarantined or released on this VM",
+                &["change"],
+            ),
             ready: gauge("ready", "1 while the VM takes new connections"),
             registry,
         }
