fix(cloverpost): a success acquits only copies of the same request

Cause: evidence named organisation, path and body, the memory of successes organisation, path and the length of the body. Any request of the same path and length that succeeded released the quarantine on all VMs. Fix: one fingerprint of a request for both, computed once a request.

--- a/crates/cloverpost-core/src/poison/fingerprint.rs
+++ b/crates/cloverpost-core/src/poison/fingerprint.rs
@@ -45,6 +45,13 @@
         Self::hash(&[organisation.as_bytes(), path.as_bytes()], body)
     }
 
+    /// The first eight bytes, for tables of many requests.
+    #[must_use]
+    pub fn prefix(&self) -> u64 {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        u64::from_be_bytes([a, b, c, d, e, f, g, h])
+    }
+
     /// Hashes `names` and `body`. Names contain no zero byte, so the separator keeps the input
     /// unambiguous.
     fn hash(names: &[&[u8]], body: &[u8]) -> Self {
--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -8,13 +8,12 @@
 //! A cold upstream crashes under load that it does not bear yet, which is no evidence against the
 //! requests that it got.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
 use cloverpost_core::directory;
 use cloverpost_core::dispatch::{Dispatch, Failure};
-use cloverpost_core::poison::{Evidence, Fingerprint, Options, Status, Successes};
+use cloverpost_core::poison::{Evidence, Options, Status, Successes};
 use cloverpost_core::refusal::{Code, Refusal};
 
 use crate::gateway::Shared;
@@ -49,7 +48,7 @@
         return false;
     }
     let now = shared.clock.now();
-    let has_succeeded = shared.successes().contains(success_key(job), now);
+    let has_succeeded = shared.successes().contains(job.fingerprint().prefix(), now);
     if has_succeeded {
         lift(shared, job, "a copy succeeded on this VM before");
     }
@@ -59,7 +58,7 @@
 /// The refusal of a quarantined job that has not run.
 pub fn refusal<C: Codec>(shared: &Shared<C>, job: &Job) -> Refusal {
     let now = shared.clock.now();
-    let fingerprint = fingerprint(job);
+    let fingerprint = job.fingerprint();
     log::info!(id = job.head.id.as_str(), fingerprint:%; "quarantined request rejected");
     Refusal {
         opens_after: shared.quarantine.remaining(&fingerprint, now),
@@ -98,7 +97,7 @@
     if is_cold || !shared.pool.is_refused(&upstream).await {
         return;
     }
-    let fingerprint = fingerprint(&job);
+    let fingerprint = job.fingerprint();
     let service = upstream.service.as_str();
     log::info!(
         id = job.head.id.as_str(), upstream = upstream.id.as_str(), service, fingerprint:%;
@@ -114,7 +113,7 @@
 /// Records that `job` succeeded, and dismisses evidence against it.
 pub fn record_success<C: Codec>(shared: &Arc<Shared<C>>, job: &Job) {
     let now = shared.clock.now();
-    shared.successes().record(success_key(job), now);
+    shared.successes().record(job.fingerprint().prefix(), now);
     if status(shared, job) != Status::Clear {
         lift(shared, job, "it succeeded");
     }
@@ -122,7 +121,7 @@
 
 /// Dismisses the evidence against `job`.
 fn lift<C: Codec>(shared: &Arc<Shared<C>>, job: &Job, why: &str) {
-    let (shared, fingerprint) = (shared.clone(), fingerprint(job));
+    let (shared, fingerprint) = (shared.clone(), job.fingerprint());
     log::info!(
         id = job.head.id.as_str(), fingerprint:%, why;
         "evidence against the request is dismissed"
@@ -133,26 +132,11 @@
     });
 }
 
-/// Hash of what identifies copies of a request, other than the content of its body: a body is too
-/// long to be hashed for each success.
-fn success_key(job: &Job) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    job.organisation().hash(&mut hasher);
-    job.uri.hash(&mut hasher);
-    job.body.len().hash(&mut hasher);
-    hasher.finish()
-}
-
 /// Status of `job`. Its body is hashed only if there is evidence against any request.
 fn status<C: Codec>(shared: &Shared<C>, job: &Job) -> Status {
     if shared.quarantine.is_empty() {
         return Status::Clear;
     }
     let now = shared.clock.now();
-    shared.quarantine.status(&fingerprint(job), now)
-}
-
-/// Identifies copies of a request, which have other ids and reach other VMs.
-fn fingerprint(job: &Job) -> Fingerprint {
-    Fingerprint::of_call(job.organisation(), &job.uri.to_string(), &job.body)
+    shared.quarantine.status(&job.fingerprint(), now)
 }
--- a/crates/cloverpost/src/gateway/job.rs
+++ b/crates/cloverpost/src/gateway/job.rs
@@ -1,8 +1,9 @@
 //! An admitted request and its context.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
+use cloverpost_core::poison::Fingerprint;
 use cloverpost_core::{directory, id, time};
 
 use crate::gateway::codec::RequestHead;
@@ -30,6 +31,8 @@
     pub deadline: time::Moment,
     /// Target service.
     pub service: id::Pool,
+    /// Computed on first use.
+    pub fingerprint: Arc<OnceLock<Fingerprint>>,
 }
 
 impl Job {
@@ -45,4 +48,12 @@
     pub fn organisation(&self) -> Option<&id::Organisation> {
         self.sender.as_ref().map(|sender| &sender.organisation)
     }
+
+    /// Identifies copies of the request, which have other ids and reach other VMs.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        let path = || self.uri.to_string();
+        let of_call = || Fingerprint::of_call(self.organisation(), &path(), &self.body);
+        *self.fingerprint.get_or_init(of_call)
+    }
 }
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -125,6 +125,7 @@
         deadline: started + timeout,
         head: request_head,
         route,
+        fingerprint: Arc::default(),
     })
 }
 
