fix(cloverpost): an attempt that was given up is evidence if its upstream crashes

Cause: the first attempt's head named a low confidence, the VM dropped it for a larger model, and the upstream crashed 57 to 112 ms later, when nobody waited for it. Fix: attempts that are dropped before their end are remembered for a second. If a later attempt of the same request crashes its upstream, they are checked too; once there is evidence, a given-up attempt is checked 200 ms later. Other requests cost nothing. The same holds for timeouts and callers that leave. Also: a marked request is sent on to an upstream by its hash, not by load.

--- a/crates/cloverpost-core/tests/behaviour/poison/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/mod.rs
@@ -1,6 +1,7 @@
 //! Quarantine of requests that crash upstreams.
 
 mod explained;
+mod given_up;
 mod merge;
 mod quarantine;
 mod successes;
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -78,7 +78,7 @@
     options: AttemptOptions<'_>,
 ) -> Result<UpstreamResponse<C>, Failure> {
     let work = prefill_seconds(shared, job, options.model);
-    let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), work);
+    let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), job.fingerprint(), work);
     selection::count_send(shared, job, upstream);
     rate_limits::record_send(shared, job, upstream, options.kind());
     let sent = shared.clock.now();
@@ -107,6 +107,7 @@
     };
     let sent = shared.clock.now();
     if sent >= job.deadline {
+        slot.end();
         return Err(Failure::NotSent);
     }
     let request = build_request(shared, job, &slot.upstream, options);
@@ -118,7 +119,10 @@
     let response = match response {
         Ok(response) => response,
         // The connection closed before any byte of the request was written.
-        Err(error) if error.message().is_some() => return Err(Failure::NotSent),
+        Err(error) if error.message().is_some() => {
+            slot.end();
+            return Err(Failure::NotSent);
+        }
         Err(_) => {
             slot.record(Event::Broke);
             crashes::record_lost(shared, job, &slot.upstream).await;
@@ -139,6 +143,7 @@
             return Err(Failure::NotStarted);
         }
         Classification::Mismatched => {
+            slot.end();
             slot.record(Event::Failed);
             return Err(Failure::Mismatched);
         }
--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -5,6 +5,9 @@
 //! flight as an upstream crashed for another reason. A request that crashed several upstreams and
 //! succeeded on none is refused, on all VMs, until the quarantine is over.
 //!
+//! An attempt that this VM gave up, as for a larger model, may crash its upstream a moment later. It
+//! is checked if there is or comes other evidence against its request.
+//!
 //! A cold upstream crashes under load that it does not bear yet, which is no evidence against the
 //! requests that it got.
 
@@ -13,7 +16,7 @@
 
 use cloverpost_core::directory;
 use cloverpost_core::dispatch::{Dispatch, Failure};
-use cloverpost_core::poison::{Evidence, Options, Status, Successes};
+use cloverpost_core::poison::{Evidence, Fingerprint, GivenUp, Options, Status, Successes};
 use cloverpost_core::refusal::{Code, Refusal};
 
 use crate::gateway::Shared;
@@ -34,6 +37,13 @@
 const CHECK_DELAY: Duration = Duration::from_millis(10);
 /// Longest delay of a job for the check. A host that lost power does not answer it.
 const MAX_CHECK_WAIT: Duration = Duration::from_millis(50);
+/// Number of attempts to remember that were given up.
+const GIVEN_UP: usize = 256;
+/// How long they are remembered: until the next attempt of the request may have crashed.
+const GIVEN_UP_EXPIRY: Duration = Duration::from_secs(1);
+/// Delay before the check of an upstream whose attempt was given up. It may crash only a while after
+/// the connection was closed.
+const GIVEN_UP_CHECK_DELAY: Duration = Duration::from_millis(200);
 /// Message of the refusal.
 const REASON: &str = "this request has crashed the upstreams that ran it";
 
@@ -42,6 +52,11 @@
     Successes::new(SUCCESSES, OPTIONS.expiry)
 }
 
+/// Creates an empty record of attempts that were given up.
+pub fn none_given_up() -> GivenUp {
+    GivenUp::new(GIVEN_UP, GIVEN_UP_EXPIRY)
+}
+
 /// Whether `job` must not run. Releases it if a copy succeeded on this VM lately.
 pub fn is_quarantined<C: Codec>(shared: &Arc<Shared<C>>, job: &Job) -> bool {
     if status(shared, job) != Status::Quarantined {
@@ -55,6 +70,11 @@
     !has_succeeded
 }
 
+/// Whether this VM knows of evidence against `job`.
+pub fn is_marked<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
+    status(shared, job) != Status::Clear
+}
+
 /// The refusal of a quarantined job that has not run.
 pub fn refusal<C: Codec>(shared: &Shared<C>, job: &Job) -> Refusal {
     let now = shared.clock.now();
@@ -81,33 +101,75 @@
     job: &Job,
     upstream: &Arc<directory::Upstream>,
 ) {
-    let check = check_crash(shared.clone(), job.clone(), upstream.clone());
+    let id = job.head.id.as_str().to_owned();
+    let check = check_lost(shared.clone(), id, job.fingerprint(), upstream.clone());
     // After the timeout, the check goes on in the background. It does not panic.
     let _ = tokio::time::timeout(MAX_CHECK_WAIT, tokio::spawn(check)).await;
 }
 
-/// Records a crash if `upstream` refuses connections, and tells other VMs.
-async fn check_crash<C: Codec>(
+/// Records that this VM gave up an attempt on `upstream` before it ended.
+pub fn record_given_up<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    fingerprint: Fingerprint,
+    upstream: &Arc<directory::Upstream>,
+) {
+    let now = shared.clock.now();
+    if shared.quarantine.is_empty() || shared.quarantine.status(&fingerprint, now) == Status::Clear
+    {
+        let mut given_up = shared.given_up();
+        given_up.record(fingerprint, upstream.clone(), now);
+        return;
+    }
+    // Attempts are also dropped as the runtime shuts down.
+    if let Ok(runtime) = tokio::runtime::Handle::try_current() {
+        let (shared, upstream) = (shared.clone(), upstream.clone());
+        runtime.spawn(async move {
+            tokio::time::sleep(GIVEN_UP_CHECK_DELAY).await;
+            check_crash(&shared, "", fingerprint, &upstream).await;
+        });
+    }
+}
+
+/// Checks `upstream`, which closed the connection, and upstreams whose attempts were given up.
+async fn check_lost<C: Codec>(
     shared: Arc<Shared<C>>,
-    job: Job,
+    id: String,
+    fingerprint: Fingerprint,
     upstream: Arc<directory::Upstream>,
 ) {
     tokio::time::sleep(CHECK_DELAY).await;
-    let is_cold = shared.cold().is_cold(&upstream.id, shared.clock.now());
-    if is_cold || !shared.pool.is_refused(&upstream).await {
+    if !check_crash(&shared, &id, fingerprint, &upstream).await {
         return;
     }
-    let fingerprint = job.fingerprint();
+    let given_up = shared.given_up().take(&fingerprint, shared.clock.now());
+    for upstream in given_up {
+        check_crash(&shared, &id, fingerprint, &upstream).await;
+    }
+}
+
+/// Records a crash if `upstream` refuses connections, and tells other VMs. Returns whether it does.
+/// `id` is empty if the request was given up.
+async fn check_crash<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    id: &str,
+    fingerprint: Fingerprint,
+    upstream: &Arc<directory::Upstream>,
+) -> bool {
+    let is_cold = shared.cold().is_cold(&upstream.id, shared.clock.now());
+    if is_cold || !shared.pool.is_refused(upstream).await {
+        return false;
+    }
     let service = upstream.service.as_str();
     log::info!(
-        id = job.head.id.as_str(), upstream = upstream.id.as_str(), service, fingerprint:%;
+        id, upstream = upstream.id.as_str(), service, fingerprint:%;
         "upstream crashed under the request"
     );
     shared.metrics.crashes.with_label_values(&[service]).inc();
-    let evidence = Evidence::of_process(&upstream);
+    let evidence = Evidence::of_process(upstream);
     let now = shared.clock.now();
     let recorded = shared.quarantine.record_crash(fingerprint, evidence, now);
     recorded.await;
+    true
 }
 
 /// Records that `job` succeeded, and dismisses evidence against it.
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -1,5 +1,6 @@
 //! Selection of the upstream for an attempt, including the version during a rollout.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
+use crate::gateway::crashes;
 use crate::gateway::job::Job;
 
 /// Versions that a job may be sent to.
@@ -75,7 +77,11 @@
     let preferred = admitted().filter(|upstream| {
         throttle.prefers(&upstream.id, now) && balancer.is_available(&upstream.id, now)
     });
-    let preferred = balancer.choose(preferred, &criteria, now);
+    let preferred = if crashes::is_marked(shared, job) {
+        choose_spread(preferred, job, tried)
+    } else {
+        balancer.choose(preferred, &criteria, now)
+    };
     let chosen = preferred.or_else(|| balancer.choose(admitted(), &criteria, now));
     let chosen = chosen.or_else(|| {
         let last_resort = usable().filter(|upstream| cold.admits_as_last_resort(&upstream.id, now));
@@ -95,6 +101,24 @@
     Some(chosen)
 }
 
+/// Chooses among `upstreams` by the hash of `job`.
+///
+/// By load, the requests that an upstream's crash ended would all go to the same next upstream, and
+/// a poison request among them would take the others along to the next crash.
+fn choose_spread<'a>(
+    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
+    job: &Job,
+    tried: &[id::Upstream],
+) -> Option<&'a Arc<Upstream>> {
+    let request = job.fingerprint().prefix();
+    let untried = upstreams.filter(|upstream| !tried.contains(&upstream.id));
+    untried.min_by_key(|upstream| {
+        let mut hasher = DefaultHasher::new();
+        (request, &upstream.id).hash(&mut hasher);
+        hasher.finish()
+    })
+}
+
 /// Whether an upstream takes another attempt of `job` now.
 pub fn has_upstream<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
     let view = shared.view.load();
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -58,6 +58,7 @@
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     successes: Mutex<poison::Successes>,
+    given_up: Mutex<poison::GivenUp>,
     balancer: Mutex<balance::Balancer>,
     speed: Mutex<balance::Speed>,
     cold: Mutex<cold::Register>,
@@ -105,6 +106,7 @@
             phase: watch::Sender::new(Phase::Serving),
             quarantine: Quarantine::with_options(crashes::OPTIONS),
             successes: Mutex::new(crashes::no_successes()),
+            given_up: Mutex::new(crashes::none_given_up()),
             balancer: Mutex::new(balancer),
             speed: Mutex::default(),
             cold: Mutex::new(cold),
@@ -128,6 +130,11 @@
         lock(&self.successes)
     }
 
+    /// Attempts that this VM gave up lately.
+    pub fn given_up(&self) -> MutexGuard<'_, poison::GivenUp> {
+        lock(&self.given_up)
+    }
+
     /// Load and health of upstreams as seen by this VM.
     pub fn balancer(&self) -> MutexGuard<'_, balance::Balancer> {
         lock(&self.balancer)
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -4,10 +4,12 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use cloverpost_core::balance::{self, Event};
+use cloverpost_core::poison::Fingerprint;
 use cloverpost_core::{directory, id};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
+use crate::gateway::crashes;
 
 /// Counts one request as in flight on an upstream until it is dropped.
 ///
@@ -25,12 +27,21 @@
     /// Estimated seconds of work before the response begins.
     work: f64,
     is_work_released: AtomicBool,
+    /// The request that occupies the slot.
+    fingerprint: Fingerprint,
+    /// Whether the upstream's part in the request is over.
+    has_ended: AtomicBool,
 }
 
 impl<C: Codec> UpstreamSlot<C> {
     /// Counts a request on `upstream` with an estimated `work` seconds until its
     /// response begins.
-    pub fn acquire(shared: Arc<Shared<C>>, upstream: Arc<directory::Upstream>, work: f64) -> Self {
+    pub fn acquire(
+        shared: Arc<Shared<C>>,
+        upstream: Arc<directory::Upstream>,
+        fingerprint: Fingerprint,
+        work: f64,
+    ) -> Self {
         let (was_idle, restarts) = {
             let mut balancer = shared.balancer();
             let was_idle = balancer.start(&upstream.id, work);
@@ -43,6 +54,8 @@
             restarts,
             work,
             is_work_released: AtomicBool::new(false),
+            fingerprint,
+            has_ended: AtomicBool::new(false),
         }
     }
 
@@ -54,8 +67,20 @@
         }
     }
 
+    /// Records that the upstream answered in full, rejected the request or closed the connection. An
+    /// attempt that is dropped before is given up.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
+
     /// Records an event of the request for the upstream's health.
     pub fn record(&self, event: Event) {
+        if matches!(
+            event,
+            Event::Broke | Event::Full | Event::Refused | Event::Succeeded
+        ) {
+            self.end();
+        }
         let now = self.shared.clock.now();
         let is_excluded = self.with_balancer(|balancer, id| balancer.record(id, event, now));
         match event {
@@ -88,5 +113,8 @@
     fn drop(&mut self) {
         self.release_work();
         self.with_balancer(balance::Balancer::request_ended);
+        if !self.has_ended.load(Ordering::Relaxed) {
+            crashes::record_given_up(&self.shared, self.fingerprint, &self.upstream);
+        }
     }
 }
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -145,6 +145,7 @@
     let left = job.deadline.since(shared.clock.now());
     let body = tokio::time::timeout(left, Limited::new(body, MAX_RESPONSE_BYTES).collect());
     let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
+    slot.end();
     let Ok(body) = body else {
         slot.record(Event::Failed);
         crashes::record_lost(shared, job, &slot.upstream).await;
