fix(cloverpost): a VM that starts or was out of touch asks what is quarantined

Cause: quarantines were told once, to the VMs of then. A VM that starts reads its tables from the store or a peer, neither of which has them; so does one that was suspended or cut off. Fix: a VM asks watchers of any zone, twice after its start and once when it was out of touch. This request is the only message of facts that is answered.

--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -11,7 +11,7 @@
 use std::collections::BTreeSet;
 
 use crate::poison::record::Record;
-use crate::poison::{Action, Fingerprint, Register, Status};
+use crate::poison::{Action, Fact, Fingerprint, Register, Status};
 use crate::time;
 
 impl Register {
@@ -45,6 +45,13 @@
             .collect()
     }
 
+    /// All facts about quarantined requests that are in effect.
+    pub fn quarantined_facts(&self, now: time::Moment) -> impl Iterator<Item = Fact> {
+        let quarantined = self.quarantined(now).into_iter();
+        quarantined
+            .flat_map(move |fingerprint| self.facts_of(&fingerprint, now).collect::<Vec<_>>())
+    }
+
     /// Requests that were quarantined or released since the quarantined ones were `before`.
     pub(super) fn changes_since(
         &self,
--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::{Member, Page, Piece, TableKind, Update};
+use cloverpost_core::poison::Fact;
 
 use crate::gateway::rollouts::Step;
 use crate::gateway::store::{Error, Topic};
@@ -15,6 +16,8 @@
     Update(Result<Box<Update>, peer::Error>),
     /// A piece of an encoded table.
     Piece(TableKind, Result<Piece, peer::Error>),
+    /// Facts about quarantined requests.
+    Quarantined(Result<Vec<Fact>, peer::Error>),
 }
 
 /// Messages to the control actor.
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -83,6 +83,7 @@
     /// When this VM, as a watcher, last repeated the rate limits of upstreams.
     last_rate_limits: time::Moment,
     last_request: time::Moment,
+    quarantine_requests: quarantine::Requests,
     requests: peer_requests::PeerRequests,
     /// The encoded configuration, served to peers in pieces.
     configuration_encodings: Encodings,
@@ -143,6 +144,7 @@
             last_evidence: time::Moment::default(),
             last_rate_limits: time::Moment::default(),
             last_request: time::Moment::default(),
+            quarantine_requests: quarantine::Requests::default(),
             requests: peer_requests::PeerRequests::default(),
             configuration_encodings: Encodings::default(),
             configuration_fetch: Fetch::default(),
--- a/crates/cloverpost/src/gateway/control/peer_requests.rs
+++ b/crates/cloverpost/src/gateway/control/peer_requests.rs
@@ -133,7 +133,7 @@
         let now = self.now();
         self.requests.in_flight.start(peer.vm.clone(), now);
         let message = directory::Message::Ask(self.image.versions());
-        self.send_request(myself, peer, message);
+        self.send_request(myself, peer, Message::Directory(message));
     }
 
     /// Requests the next pieces of a newer configuration and of the upstream table.
@@ -159,43 +159,25 @@
             version: request.version,
             offset: request.offset,
         };
-        self.send_request(myself, &request.holder, fetch);
+        self.send_request(myself, &request.holder, Message::Directory(fetch));
     }
 
     /// Sends `message` in the background; the result returns as a command.
-    fn send_request(&self, myself: &ActorRef<Command>, peer: &Member, message: directory::Message) {
+    pub(super) fn send_request(&self, myself: &ActorRef<Command>, peer: &Member, message: Message) {
         let target = target(peer);
         let peer = peer.clone();
         let links = self.context.links.clone();
         let controller = myself.clone();
-        let fetched_table = match message {
-            directory::Message::Fetch { table, .. } => Some(table),
-            _ => None,
-        };
-        let message = Message::Directory(message);
         self.count_message(&message);
         tokio::spawn(async move {
             let started = Instant::now();
             let result = links.request(&target, &message).await;
             let took = started.elapsed();
-            let response = match (result, fetched_table) {
-                (Ok(Message::Directory(directory::Message::Tell(update))), None) => {
-                    PeerResponse::Update(Ok(update))
-                }
-                (Ok(Message::Directory(directory::Message::Piece(piece))), Some(table)) => {
-                    PeerResponse::Piece(table, Ok(piece))
-                }
-                (Err(error), None) => PeerResponse::Update(Err(error)),
-                (Err(error), Some(table)) => PeerResponse::Piece(table, Err(error)),
-                // An unexpected message type counts as unanswered.
-                (Ok(_), None) => PeerResponse::Update(Err(peer::Error::Unanswered)),
-                (Ok(_), Some(table)) => PeerResponse::Piece(table, Err(peer::Error::Unanswered)),
-            };
             // The send fails only during process shutdown.
             let _ = controller.cast(Command::PeerRequestDone {
                 peer,
                 took,
-                response,
+                response: peer_response(&message, result),
             });
         });
     }
@@ -217,6 +199,12 @@
                     Err(_) => self.forget_newer_peer(&peer.vm),
                 }
             }
+            PeerResponse::Quarantined(result) => {
+                self.record_result(peer, took, result.as_ref().err());
+                if let Ok(facts) = result {
+                    self.handle_quarantined(facts);
+                }
+            }
             PeerResponse::Piece(table, result) => {
                 self.record_result(peer, took, result.as_ref().err());
                 self.handle_piece(peer, table, result.ok().as_ref());
@@ -296,3 +284,24 @@
         }
     }
 }
+
+/// Decodes the result of `request`. A response of an unexpected type counts as unanswered.
+fn peer_response(request: &Message, result: Result<Message, peer::Error>) -> PeerResponse {
+    match request {
+        Message::Poison(_) => PeerResponse::Quarantined(result.and_then(|message| match message {
+            Message::Poison(facts) => Ok(facts),
+            _ => Err(peer::Error::Unanswered),
+        })),
+        Message::Directory(directory::Message::Fetch { table, .. }) => {
+            let piece = result.and_then(|message| match message {
+                Message::Directory(directory::Message::Piece(piece)) => Ok(piece),
+                _ => Err(peer::Error::Unanswered),
+            });
+            PeerResponse::Piece(*table, piece)
+        }
+        _ => PeerResponse::Update(result.and_then(|message| match message {
+            Message::Directory(directory::Message::Tell(update)) => Ok(update),
+            _ => Err(peer::Error::Unanswered),
+        })),
+    }
+}
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -169,6 +169,9 @@
             }
             Message::Poison(facts) => {
                 self.merge_crash_facts(facts);
+                if incoming.reply.is_awaited() {
+                    self.reply_with_quarantined(incoming.reply);
+                }
                 return;
             }
             Message::Throttle(notices) => {
@@ -257,7 +260,10 @@
 
     fn reply(&self, reply: peer::Reply, message: directory::Message) {
         self.context.shared.metrics.peer_responses.inc();
-        let message = Message::Directory(message);
+        self.send_reply(reply, Message::Directory(message));
+    }
+
+    pub(super) fn send_reply(&self, reply: peer::Reply, message: Message) {
         self.count_message(&message);
         reply.send(message);
     }
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -9,13 +9,19 @@
 //! message of facts is answered by one, so each crash causes a bounded number of messages: one of
 //! each VM that had requests there to each watcher, and one of each watcher to each VM of its zone
 //! for each change of a quarantine.
+//!
+//! A VM that has just started, or that was out of touch, asks watchers for what is quarantined. Only
+//! such a request is answered with facts.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use cloverpost_core::directory::Member;
 use cloverpost_core::poison::Fact;
+use cloverpost_core::time;
 use cloverpost_wire::Message;
 use ractor::ActorRef;
+use rand::seq::IteratorRandom;
 use tokio::sync::mpsc;
 
 use crate::gateway::codec::Codec;
@@ -23,6 +29,7 @@
 use crate::gateway::control::State;
 use crate::gateway::control::peers::target;
 use crate::gateway::store::Store;
+use crate::peer;
 use crate::quarantine::{self, Change};
 
 /// Maximum number of notifications sent at once. The crash of an upstream ends all its requests of a
@@ -30,6 +37,38 @@
 const MAX_BATCH: usize = 64;
 /// Maximum number of facts in a message, at about 90 bytes each.
 const MAX_FACTS: usize = 200;
+/// Answers that a VM that has just started waits for. One of the watchers may have started as well.
+const ANSWERS_AT_START: usize = 2;
+/// Interval between requests for what is quarantined.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval of the periodic task after which the process was suspended and may have missed news.
+const MAX_TASK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Requests for what is quarantined.
+#[derive(Clone, Copy, Debug)]
+pub struct Requests {
+    /// Answers still needed.
+    needed: usize,
+    last_sent: time::Moment,
+    last_check: time::Moment,
+}
+
+impl Requests {
+    /// Requires one more answer, since this VM may have missed news.
+    pub(super) fn require_answer(&mut self) {
+        self.needed = self.needed.max(1);
+    }
+}
+
+impl Default for Requests {
+    fn default() -> Self {
+        Self {
+            needed: ANSWERS_AT_START,
+            last_sent: time::Moment::default(),
+            last_check: time::Moment::default(),
+        }
+    }
+}
 
 /// Forwards facts of this VM to the control actor until either side is gone.
 pub async fn forward(
@@ -104,6 +143,41 @@
         }
     }
 
+    /// Asks a watcher for what is quarantined, if this VM may lack it.
+    pub(super) fn request_quarantined(&mut self, myself: &ActorRef<Command>) {
+        let now = self.now();
+        let requests = &mut self.quarantine_requests;
+        if now.since(requests.last_check) > MAX_TASK_INTERVAL {
+            requests.require_answer();
+        }
+        requests.last_check = now;
+        if requests.needed == 0 || now.since(requests.last_sent) < REQUEST_INTERVAL {
+            return;
+        }
+        let own = &self.context.own.vm;
+        let watchers = self.image.members.watchers().into_iter();
+        let others = watchers.filter(|watcher| watcher.vm != *own);
+        let Some(peer) = others.choose(&mut rand::rng()).cloned() else {
+            return;
+        };
+        self.quarantine_requests.last_sent = now;
+        self.send_request(myself, &peer, Message::Poison(Vec::new()));
+    }
+
+    /// Merges the answer to a request for what is quarantined.
+    pub(super) fn handle_quarantined(&mut self, facts: Vec<Fact>) {
+        let needed = &mut self.quarantine_requests.needed;
+        *needed = needed.saturating_sub(1);
+        self.merge_crash_facts(facts);
+    }
+
+    pub(super) fn reply_with_quarantined(&self, reply: peer::Reply) {
+        let quarantine = &self.context.shared.quarantine;
+        let mut facts = quarantine.quarantined_facts(self.now());
+        facts.truncate(MAX_FACTS);
+        self.send_reply(reply, Message::Poison(facts));
+    }
+
     pub(super) fn is_watcher(&self) -> bool {
         self.image.members.is_watcher(&self.context.own)
     }
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -116,6 +116,7 @@
     pub(super) fn record_store_contact(&mut self, now: time::Moment) {
         if now.since(self.last_store_contact) > CONTACT_TIMEOUT {
             self.store_contact_resumed = Some(now);
+            self.quarantine_requests.require_answer();
         }
         self.last_store_contact = now;
     }
--- a/crates/cloverpost/src/quarantine/mod.rs
+++ b/crates/cloverpost/src/quarantine/mod.rs
@@ -153,6 +153,12 @@
         self.register().facts_of(fingerprint, now).collect()
     }
 
+    /// Facts about quarantined requests, for a peer that has just started.
+    #[must_use]
+    pub fn quarantined_facts(&self, now: time::Moment) -> Vec<Fact> {
+        self.register().quarantined_facts(now).collect()
+    }
+
     /// Every fact still in effect, for a peer that may have missed some.
     #[must_use]
     pub fn facts(&self, now: time::Moment) -> Vec<Fact> {
