--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -6,7 +6,8 @@
 //!
 //! Of two requests that have just reached the threshold, either may be the cause. They excuse each
 //! other until one more crash decides between them. Above the threshold equal evidence excuses
-//! nothing; otherwise poison requests that always run together would never be stopped.
+//! nothing; otherwise poison requests that always run together would never be stopped. For the same
+//! reason a request with many crashes is quarantined whatever others have.
 
 use std::collections::BTreeSet;
 
@@ -14,6 +15,9 @@
 use crate::poison::{Action, Fact, Fingerprint, Register, Status};
 use crate::time;
 
+/// Number of crashes above the threshold from which no other request is an excuse.
+const MAX_EXCUSED: usize = 2;
+
 impl Register {
     /// Whether other requests explain so many crashes of `record` that fewer than the threshold are
     /// left.
@@ -25,6 +29,9 @@
     ) -> bool {
         let threshold = self.options.threshold;
         let len = record.live_len(now);
+        if len >= threshold + MAX_EXCUSED {
+            return false;
+        }
         let others = self.suspects.iter().filter(|other| *other != fingerprint);
         let others = others.filter_map(|other| self.records.get(other));
         let stronger: Vec<_> = others
