--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -5,9 +5,9 @@
 //! crashes are also evidence against others, which have more.
 //!
 //! Of two requests that have just reached the threshold, either may be the cause. They excuse each
-//! other until one more crash decides between them. Above the threshold equal evidence excuses
-//! nothing; otherwise poison requests that always run together would never be stopped. For the same
-//! reason a request with many crashes is quarantined whatever others have.
+//! other until one more crash decides between them. Above the threshold only a request that was
+//! there at each of the crashes, and at others, is an excuse; otherwise poison requests that come at
+//! the same time would never be stopped.
 
 use std::collections::BTreeSet;
 
@@ -15,12 +15,8 @@
 use crate::poison::{Action, Fact, Fingerprint, Register, Status};
 use crate::time;
 
-/// Number of crashes above the threshold from which no other request is an excuse.
-const MAX_EXCUSED: usize = 2;
-
 impl Register {
-    /// Whether other requests explain so many crashes of `record` that fewer than the threshold are
-    /// left.
+    /// Whether other requests explain the crashes of `record`.
     pub(super) fn is_explained(
         &self,
         fingerprint: &Fingerprint,
@@ -29,18 +25,14 @@
     ) -> bool {
         let threshold = self.options.threshold;
         let len = record.live_len(now);
-        if len >= threshold + MAX_EXCUSED {
-            return false;
-        }
         let others = self.suspects.iter().filter(|other| *other != fingerprint);
         let others = others.filter_map(|other| self.records.get(other));
-        let stronger: Vec<_> = others
-            .filter(|other| {
-                let other_len = other.live_len(now);
-                other_len > len || (other_len == len && len == threshold)
-            })
-            .collect();
-        let is_unexplained = |crash: &&_| !stronger.iter().any(|other| other.live.contains(*crash));
+        if len > threshold {
+            let mut stronger = others.filter(|other| other.live_len(now) > len);
+            return stronger.any(|other| other.live.is_superset(&record.live));
+        }
+        let others: Vec<_> = others.filter(|other| other.live_len(now) >= len).collect();
+        let is_unexplained = |crash: &&_| !others.iter().any(|other| other.live.contains(*crash));
         record.live.iter().filter(is_unexplained).count() < threshold
     }
 
