fix(cloverpost): the crash of a cold upstream is evidence

The exemption was meant for upstreams that crash under load they do not bear; the rate limit of cold upstreams prevents that load, and an innocent request would have to meet three such crashes.

--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -7,9 +7,6 @@
 //!
 //! An attempt that this VM gave up, as for a larger model, may crash its upstream a moment later. It
 //! is checked if there is or comes other evidence against its request.
-//!
-//! A cold upstream crashes under load that it does not bear yet, which is no evidence against the
-//! requests that it got.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -155,8 +152,7 @@
     fingerprint: Fingerprint,
     upstream: &Arc<directory::Upstream>,
 ) -> bool {
-    let is_cold = shared.cold().is_cold(&upstream.id, shared.clock.now());
-    if is_cold || !shared.pool.is_refused(upstream).await {
+    if !shared.pool.is_refused(upstream).await {
         return false;
     }
     let service = upstream.service.as_str();
