--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -21,6 +21,7 @@
 use cloverpost_core::directory::{
     Configuration, Encodings, Fetch, Image, Member, Upstream, Version,
 };
+use cloverpost_core::poison::Fingerprint;
 use cloverpost_core::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -84,6 +85,8 @@
     last_rate_limits: time::Moment,
     last_request: time::Moment,
     quarantine_requests: quarantine::Requests,
+    /// Requests whose change is to be repeated to the availability zone, with the time.
+    quarantine_repeats: Vec<(time::Moment, Fingerprint)>,
     requests: peer_requests::PeerRequests,
     /// The encoded configuration, served to peers in pieces.
     configuration_encodings: Encodings,
@@ -145,6 +148,7 @@
             last_rate_limits: time::Moment::default(),
             last_request: time::Moment::default(),
             quarantine_requests: quarantine::Requests::default(),
+            quarantine_repeats: Vec::new(),
             requests: peer_requests::PeerRequests::default(),
             configuration_encodings: Encodings::default(),
             configuration_fetch: Fetch::default(),
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -53,6 +53,7 @@
         self.request_from_watcher(myself);
         self.continue_requests(myself);
         self.request_quarantined(myself);
+        self.repeat_quarantined();
         self.share_loads();
         self.share_rate_limits(now);
         self.update_followed_topics();
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -8,7 +8,7 @@
 //! Facts go one way, from the VM that saw the crash to watchers and from these to their zones. No
 //! message of facts is answered by one, so each crash causes a bounded number of messages: one of
 //! each VM that had requests there to each watcher, and one of each watcher to each VM of its zone
-//! for each change of a quarantine.
+//! for each change of a quarantine, which is repeated twice.
 //!
 //! A VM that has just started, or that was out of touch, asks watchers for what is quarantined. Only
 //! such a request is answered with facts.
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::Member;
-use cloverpost_core::poison::Fact;
+use cloverpost_core::poison::{Fact, Fingerprint};
 use cloverpost_core::time;
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -37,6 +37,8 @@
 const MAX_BATCH: usize = 64;
 /// Maximum number of facts in a message, at about 90 bytes each.
 const MAX_FACTS: usize = 200;
+/// Delays after which a watcher repeats a change to its zone. Messages to a busy VM may be lost.
+const REPEAT_DELAYS: [Duration; 2] = [Duration::from_millis(400), Duration::from_millis(1_200)];
 /// Answers that a VM that has just started waits for. One of the watchers may have started as well.
 const ANSWERS_AT_START: usize = 2;
 /// Interval between requests for what is quarantined.
@@ -87,7 +89,7 @@
 
 impl<C: Codec, S: Store> State<C, S> {
     /// Sends facts of this VM to the watchers, and what they change to the availability zone.
-    pub(super) fn share_crash_facts(&self, notifications: Vec<quarantine::Notification>) {
+    pub(super) fn share_crash_facts(&mut self, notifications: Vec<quarantine::Notification>) {
         let (mut facts, mut changes, mut waiting) = (Vec::new(), Vec::new(), Vec::new());
         for notification in notifications {
             facts.extend(notification.facts);
@@ -106,14 +108,15 @@
     }
 
     /// Merges facts of another VM. A watcher forwards what they change to its zone.
-    pub(super) fn merge_crash_facts(&self, facts: Vec<Fact>) {
+    pub(super) fn merge_crash_facts(&mut self, facts: Vec<Fact>) {
         let quarantine = &self.context.shared.quarantine;
         let changes = quarantine.merge(facts, self.now());
         self.forward_changes(&changes);
     }
 
-    /// Counts `changes`. A watcher sends all facts about the requests to its zone.
-    fn forward_changes(&self, changes: &[Change]) {
+    /// Counts `changes`. A watcher sends all facts about the requests to its zone, and repeats them
+    /// later.
+    fn forward_changes(&mut self, changes: &[Change]) {
         let shared = &self.context.shared;
         for change in changes {
             let counter = &shared.metrics.quarantine_changes;
@@ -123,10 +126,35 @@
             return;
         }
         let now = self.now();
-        let requests: BTreeSet<_> = changes.iter().map(Change::fingerprint).collect();
-        let facts = requests.into_iter();
+        let requests: BTreeSet<_> = changes.iter().map(Change::fingerprint).copied().collect();
+        self.tell_zone(&requests);
+        for delay in REPEAT_DELAYS {
+            let repeats = requests.iter().map(|request| (now + delay, *request));
+            self.quarantine_repeats.extend(repeats);
+        }
+    }
+
+    /// Repeats the changes that are due to the availability zone.
+    pub(super) fn repeat_quarantined(&mut self) {
+        let now = self.now();
+        let mut due = BTreeSet::new();
+        self.quarantine_repeats.retain(|(at, request)| {
+            let is_due = *at <= now;
+            if is_due {
+                due.insert(*request);
+            }
+            !is_due
+        });
+        self.tell_zone(&due);
+    }
+
+    /// Sends all facts about `requests` to the VMs of this availability zone.
+    fn tell_zone(&self, requests: &BTreeSet<Fingerprint>) {
+        let now = self.now();
+        let quarantine = &self.context.shared.quarantine;
+        let facts = requests.iter();
         let facts: Vec<_> = facts
-            .flat_map(|fingerprint| shared.quarantine.facts_of(fingerprint, now))
+            .flat_map(|fingerprint| quarantine.facts_of(fingerprint, now))
             .collect();
         let own = &self.context.own;
         let members = self.image.members.rows.values().map(|row| &row.value);
