--- a/crates/cloverpost-core/src/poison/crash.rs
+++ b/crates/cloverpost-core/src/poison/crash.rs
@@ -18,20 +18,20 @@
     ) -> Vec<Action> {
         let capacity = self.options.capacity;
         let expires_at = now + self.options.expiry;
-        let before = self.quarantined(now);
+        let was_quarantined = self.last_quarantined.contains(&fingerprint);
         let marks_to_send: Vec<_> = self.change(fingerprint, now, |record| {
             let added = record.len() < capacity && record.add(evidence, expires_at);
             let added_marks = added.then(|| marks(fingerprint, record, now).collect());
             added_marks.unwrap_or_else(Vec::new)
         });
-        let is_confirmed = before.contains(&fingerprint) && !marks_to_send.is_empty();
+        let is_confirmed = was_quarantined && !marks_to_send.is_empty();
         let confirmed = is_confirmed.then_some(Action::Confirmed(fingerprint));
         let broadcasts = marks_to_send
             .into_iter()
             .map(|mark| Action::Broadcast(Fact::Mark(mark)));
         broadcasts
             .chain(confirmed)
-            .chain(self.changes_since(&before, now))
+            .chain(self.changes_by(&fingerprint, now))
             .collect()
     }
 }
--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -51,15 +51,18 @@
             .flat_map(move |fingerprint| self.facts_of(&fingerprint, now).collect::<Vec<_>>())
     }
 
-    /// Requests that were quarantined or released since the quarantined ones were `before`.
-    pub(super) fn changes_since(
-        &self,
-        before: &BTreeSet<Fingerprint>,
-        now: time::Moment,
-    ) -> Vec<Action> {
+    /// Requests that were quarantined or released by a change to `changed`. Only changes to suspects
+    /// matter, so that marks of many other requests cost little.
+    pub(super) fn changes_by(&mut self, changed: &Fingerprint, now: time::Moment) -> Vec<Action> {
+        let was_quarantined = self.last_quarantined.contains(changed);
+        if !was_quarantined && !self.suspects.contains(changed) {
+            return Vec::new();
+        }
         let after = self.quarantined(now);
-        let quarantined = after.difference(before).copied().map(Action::Quarantined);
-        let released = before.difference(&after).copied().map(Action::Released);
+        let before = std::mem::replace(&mut self.last_quarantined, after);
+        let after = &self.last_quarantined;
+        let quarantined = after.difference(&before).copied().map(Action::Quarantined);
+        let released = before.difference(after).copied().map(Action::Released);
         quarantined.chain(released).collect()
     }
 }
--- a/crates/cloverpost-core/src/poison/merge.rs
+++ b/crates/cloverpost-core/src/poison/merge.rs
@@ -17,24 +17,25 @@
     fn merge_mark(&mut self, mark: Mark, now: time::Moment) -> Vec<Action> {
         let capacity = self.options.capacity;
         let expires_at = now + mark.remaining.min(self.options.expiry);
-        let before = self.quarantined(now);
+        let was_quarantined = self.last_quarantined.contains(&mark.fingerprint);
         let is_added = self.change(mark.fingerprint, now, |record| {
             record.len() < capacity && record.add(mark.evidence, expires_at)
         });
-        let is_confirmed = is_added && before.contains(&mark.fingerprint);
-        let confirmed = is_confirmed.then_some(Action::Confirmed(mark.fingerprint));
-        let changes = self.changes_since(&before, now);
+        if !is_added {
+            return Vec::new();
+        }
+        let confirmed = was_quarantined.then_some(Action::Confirmed(mark.fingerprint));
+        let changes = self.changes_by(&mark.fingerprint, now);
         confirmed.into_iter().chain(changes).collect()
     }
 
     pub(super) fn merge_lift(&mut self, lift: Lift, now: time::Moment) -> Vec<Action> {
-        let before = self.quarantined(now);
         self.change(lift.fingerprint, now, |record| {
             for evidence in lift.evidence {
                 record.lift(evidence);
             }
             record.expires_at = record.expires_at.max(now);
         });
-        self.changes_since(&before, now)
+        self.changes_by(&lift.fingerprint, now)
     }
 }
--- a/crates/cloverpost-core/src/poison/register.rs
+++ b/crates/cloverpost-core/src/poison/register.rs
@@ -54,6 +54,8 @@
     pub(super) records: BTreeMap<Fingerprint, Record>,
     /// Requests with as many pieces of live evidence as the threshold.
     pub(super) suspects: BTreeSet<Fingerprint>,
+    /// Requests that were quarantined after the last change of a suspect.
+    pub(super) last_quarantined: BTreeSet<Fingerprint>,
     len: usize,
 }
 
@@ -65,6 +67,7 @@
             options,
             records: BTreeMap::new(),
             suspects: BTreeSet::new(),
+            last_quarantined: BTreeSet::new(),
             len: 0,
         }
     }
