--- a/crates/cloverpost-core/src/poison/fingerprint.rs
+++ b/crates/cloverpost-core/src/poison/fingerprint.rs
@@ -46,10 +46,14 @@
     }
 
     /// The first eight bytes, for tables of many requests.
+    ///
+    /// # Panics
+    ///
+    /// Never: a fingerprint is longer.
     #[must_use]
     pub fn prefix(&self) -> u64 {
-        let [a, b, c, d, e, f, g, h, ..] = self.0;
-        u64::from_be_bytes([a, b, c, d, e, f, g, h])
+        let bytes = self.0.first_chunk().expect("a fingerprint has 32 bytes");
+        u64::from_be_bytes(*bytes)
     }
 
     /// Hashes `names` and `body`. Names contain no zero byte, so the separator keeps the input
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -269,7 +269,7 @@
     }
 
     pub(super) fn count_message(&self, message: &Message) {
-        let messages = &self.context.shared.metrics.messages;
+        let messages = &self.context.shared.metrics.peers.messages;
         messages.with_label_values(&[message.kind()]).inc();
     }
 
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -119,7 +119,7 @@
     fn forward_changes(&mut self, changes: &[Change]) {
         let shared = &self.context.shared;
         for change in changes {
-            let counter = &shared.metrics.quarantine_changes;
+            let counter = &shared.metrics.peers.quarantine_changes;
             counter.with_label_values(&[change.as_str()]).inc();
         }
         if !self.is_watcher() {
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod peers;
 mod rate_limits;
 
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 
 use crate::peer;
 
+pub use peers::Peers;
 pub use rate_limits::RateLimits;
 
 /// Upper bounds of latency buckets, in seconds.
@@ -83,10 +85,8 @@
     pub peer_requests: IntCounterVec,
     /// Responses sent to requests from peers.
     pub peer_responses: IntCounter,
-    /// Messages to peers, by kind.
-    pub messages: IntCounterVec,
-    /// Requests that were quarantined or released on this VM, by change.
-    pub quarantine_changes: IntCounterVec,
+    /// What VMs tell each other.
+    pub peers: Peers,
     /// Whether the readiness check passes.
     pub ready: IntGauge,
 }
@@ -200,16 +200,7 @@
                 "control_answers_total",
                 "answers to such questions of peers",
             ),
-            messages: counters(
-                "control_messages_total",
-                "messages queued for peers, by kind",
-                &["kind"],
-            ),
-            quarantine_changes: counters(
-                "quarantine_changes_total",
-                "requests quarantined or released on this VM",
-                &["change"],
-            ),
+            peers: Peers::register(&registry),
             ready: gauge("ready", "1 while the VM takes new connections"),
             registry,
         }
