--- a/crates/cloverpost-core/src/poison/register.rs
+++ b/crates/cloverpost-core/src/poison/register.rs
@@ -43,7 +43,7 @@
     Quarantined(Fingerprint),
     /// There is further evidence against a quarantined request.
     Confirmed(Fingerprint),
-    /// A request was released from quarantine by an operator.
+    /// A request is quarantined no longer.
     Released(Fingerprint),
 }
 
