feat(cloverpost): connects to upstreams are told apart by result

Change: the dialer names why it has no connection; a line and the counter upstream_connects_total{result} carry it. Faults of the paths from one VM can be injected by tests, as those between VMs: they hang, are reset, or refuse only what is new.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -176,7 +176,16 @@
 ) -> Result<Connection, Failure> {
     shared.metrics.connections.inc();
     let opened = shared.pool.connect(&slot.upstream).await;
-    opened.ok_or_else(|| {
+    let result = opened
+        .as_ref()
+        .map_or_else(|error| error.as_str(), |_| "connected");
+    let connects = &shared.metrics.connects;
+    connects.with_label_values(&[result]).inc();
+    opened.map_err(|error| {
+        log::info!(
+            upstream = slot.upstream.id.as_str(), address:% = slot.upstream.address, why:% = error;
+            "no connection to the upstream"
+        );
         slot.record(Event::Refused);
         Failure::NotSent
     })
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -63,6 +63,8 @@
     pub rate_limits: RateLimits,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
+    /// Attempts to open a connection to an upstream, by result.
+    pub connects: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Time to first byte in seconds, by route.
@@ -162,6 +164,11 @@
                 "upstream_connections_total",
                 "connections opened to upstreams",
             ),
+            connects: counters(
+                "upstream_connects_total",
+                "attempts to open a connection to an upstream",
+                &["result"],
+            ),
             in_flight: gauge("in_flight", "requests in flight"),
             first_byte: register(
                 &registry,
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -6,7 +6,6 @@
 //! sent, it is unknown whether the request ran.
 
 use std::collections::HashMap;
-use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -15,15 +14,12 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 use crate::clock::Clock;
-use crate::gateway::socket;
+use crate::gateway::dial::{self, Dialer};
+use crate::gateway::faults::Faults;
 
-/// Timeout of a TCP connect. It is shorter than the first SYN retransmission, after one
-/// second, so that a lost SYN leads to another attempt instead.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Idle time after which a connection is not reused, unless the upstream states its
 /// keep-alive timeout.
 const MAX_IDLE: Duration = Duration::from_secs(2);
@@ -38,6 +34,7 @@
 #[derive(Debug)]
 pub struct Pool {
     clock: Clock,
+    dialer: Dialer,
     idle: Mutex<HashMap<id::Upstream, Vec<IdleConnection>>>,
 }
 
@@ -90,10 +87,17 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
+            dialer: Dialer::default(),
             idle: Mutex::default(),
         }
     }
 
+    /// Faults of the paths to upstreams, injected by tests.
+    #[must_use]
+    pub const fn faults(&self) -> &Faults {
+        self.dialer.faults()
+    }
+
     /// Removes and returns the newest reusable idle connection to `upstream`.
     /// `non_idempotent` applies the shorter idle limit.
     #[must_use]
@@ -109,17 +113,16 @@
         Some(connections.remove(index).connection)
     }
 
-    /// Opens a connection to `upstream`; `None` on an error or timeout.
-    pub async fn connect(&self, upstream: &directory::Upstream) -> Option<Connection> {
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.address));
-        let stream = connect.await.ok()?.ok()?;
-        socket::configure(&stream, socket::UPSTREAM_TIMEOUTS);
-        let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    /// Opens a connection to `upstream`.
+    pub async fn connect(&self, upstream: &directory::Upstream) -> Result<Connection, dial::Error> {
+        let stream = self.dialer.dial(upstream.address).await?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|_| dial::Error::Failed)?;
         let driver = tokio::spawn(async move {
             // A connection error also reaches the request on the connection.
             let _ = driver.await;
         });
-        Some(Connection {
+        Ok(Connection {
             sender,
             is_used: false,
             upstream: upstream.id.clone(),
@@ -130,9 +133,8 @@
 
     /// Whether `upstream` refuses connections, as while its process is down.
     pub async fn is_refused(&self, upstream: &directory::Upstream) -> bool {
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.address));
-        let refused = io::ErrorKind::ConnectionRefused;
-        matches!(connect.await, Ok(Err(error)) if error.kind() == refused)
+        let dialled = self.dialer.dial(upstream.address).await;
+        matches!(dialled, Err(dial::Error::Refused))
     }
 
     /// Returns a connection to the pool after its response was read to the end.
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -17,6 +17,7 @@
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
 use crate::gateway::control::{Context, Controller};
+use crate::gateway::faults::Faults;
 use crate::gateway::settings::Settings;
 use crate::gateway::shared::Phase;
 use crate::gateway::store::Store;
@@ -105,6 +106,12 @@
         self.operator_addr
     }
 
+    /// Faults of the paths to upstreams, injected by tests.
+    #[must_use]
+    pub fn path_faults(&self) -> Faults {
+        self.shared.pool.faults().clone()
+    }
+
     /// Serves until `stop` resolves, then shuts down gracefully.
     pub async fn run(self, stop: impl Future<Output = ()>) {
         let server = tokio::spawn(server::run(self.caller_listener, self.shared.clone()));
