fix(cloverpost): connections go through another VM while this one has no path

What callers saw: first tries at VMs that had lost their paths to all upstreams ended in 503, at once where connects were refused, after six connects of 600 ms where they hung. Cause: a VM had no way to an upstream but its own connection. Ruled out: attempts or the retry budget running out (no upstream was reachable, the budget was not asked), ejections that the first span left behind (a VM cut only in the second served no more). Change: a connect that fails, or takes over 100 ms, is tried through up to six peers too, its own zone's first; the first to open wins. A peer passes the bytes of one connection on over an h2 stream of an authenticated link, to an upstream of its own tables, on its own direct path: decisions, counts and timeouts stay where they are. Upstreams reached that way only are remembered, and one direct path a second is tried again. A peer that is refused says so only if it reaches another upstream. Stopping VMs take no new tunnels and finish open ones. Why it works: the decision which upstream to use never depended on the path; now the connection does not either.

--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -27,6 +27,7 @@
 mod number;
 pub mod order;
 pub mod overload;
+pub mod path;
 pub mod plan;
 pub mod poison;
 pub mod quota;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -19,6 +19,7 @@
 mod membership;
 mod order;
 mod overload;
+mod path;
 mod plan;
 mod poison;
 mod refusal;
--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -34,6 +34,8 @@
     Balance(balance::Message),
     /// Rate limits that upstreams state.
     Throttle(Vec<throttle::Notice>),
+    /// First frame of a tunnel to an upstream.
+    Tunnel(directory::Tunnel),
 }
 
 impl Message {
@@ -53,6 +55,7 @@
             Self::Exposure(_) => "rollouts",
             Self::Balance(_) => "loads",
             Self::Throttle(_) => "rate_limits",
+            Self::Tunnel(_) => "tunnels",
         }
     }
 }
--- a/crates/cloverpost/src/control/dispatch.rs
+++ b/crates/cloverpost/src/control/dispatch.rs
@@ -29,7 +29,8 @@
             Message::Directory(_)
             | Message::Exposure(_)
             | Message::Balance(_)
-            | Message::Throttle(_) => {
+            | Message::Throttle(_)
+            | Message::Tunnel(_) => {
                 log::debug!("ignored message from {from}: only used in gateway mode");
             }
             Message::Hello(_) => log::debug!("ignored repeated hello from {from}"),
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use crate::gateway::codec::{Attempt, Classification, Codec};
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
+use crate::gateway::path;
 use crate::gateway::pool::Connection;
 use crate::gateway::rate_limits;
 use crate::gateway::response;
@@ -171,22 +172,20 @@
 }
 
 async fn connect<C: Codec>(
-    shared: &Shared<C>,
+    shared: &Arc<Shared<C>>,
     slot: &UpstreamSlot<C>,
 ) -> Result<Connection, Failure> {
     shared.metrics.connections.inc();
-    let opened = shared.pool.connect(&slot.upstream).await;
-    let result = opened
-        .as_ref()
-        .map_or_else(|error| error.as_str(), |_| "connected");
-    let connects = &shared.metrics.connects;
-    connects.with_label_values(&[result]).inc();
+    let opened = path::connect(shared, &slot.upstream).await;
     opened.map_err(|error| {
         log::info!(
-            upstream = slot.upstream.id.as_str(), address:% = slot.upstream.address, why:% = error;
+            upstream = slot.upstream.id.as_str(), address:% = slot.upstream.address, why:? = error;
             "no connection to the upstream"
         );
-        slot.record(Event::Refused);
+        match error {
+            path::Error::Down(_) => slot.record(Event::Refused),
+            path::Error::NoPath(_) => slot.end(),
+        }
         Failure::NotSent
     })
 }
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -65,6 +65,7 @@
             let view = self.context.shared.view.load();
             self.context.shared.pool.evict_expired(&view);
             self.context.shared.balancer().retain(&view);
+            self.context.shared.paths().retain(&view);
             self.context.shared.quarantine.prune(now);
             self.context.shared.throttle().retain(&view, now);
         }
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -1,5 +1,6 @@
 //! Applies updates from the store and from peers to the table replica and publishes routing views.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cloverpost_core::directory::fetch::Fetched;
@@ -217,8 +218,8 @@
         self.update_followed_topics();
     }
 
-    /// Recomputes which VMs send to cold upstreams and to those that state rate limits if the member
-    /// list has changed.
+    /// Recomputes what follows from the member list if it has changed: which VMs send to cold
+    /// upstreams and to those that state rate limits, and which may be asked for tunnels.
     fn update_senders(&mut self) {
         let members = &self.image.members;
         if self.senders_version == members.changed {
@@ -231,6 +232,11 @@
         let shared = &self.context.shared;
         shared.cold().set_senders(senders.clone());
         shared.throttle().set_senders(senders, self.now());
+        let peers = self.image.members.rows.values().map(|row| &row.value);
+        let peers = peers.filter(|member| member.vm != self.context.own.vm);
+        let peers: Vec<_> = peers.cloned().collect();
+        shared.helpers().retain(&peers);
+        shared.peers.store(Arc::new(peers));
     }
 
     /// Returns whether the operators' orders have been received. Configuration and upstreams can
--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -18,6 +18,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
+use crate::gateway::dial;
 use crate::gateway::job::Job;
 
 /// Options of the quarantine. A request whose upstream crashes for another reason may meet a
@@ -152,7 +153,8 @@
     fingerprint: Fingerprint,
     upstream: &Arc<directory::Upstream>,
 ) -> bool {
-    if !shared.pool.is_refused(upstream).await {
+    let dialled = shared.pool.dial(upstream).await;
+    if !matches!(dialled, Err(dial::Error::Refused)) {
         return false;
     }
     let service = upstream.service.as_str();
--- a/crates/cloverpost/src/gateway/dial.rs
+++ b/crates/cloverpost/src/gateway/dial.rs
@@ -8,7 +8,7 @@
 use tokio::net::TcpStream;
 
 use crate::gateway::faults::{self, Faults};
-use crate::gateway::socket;
+use crate::socket;
 
 /// Timeout of a TCP connect. It is shorter than the first SYN retransmission, after one
 /// second, so that a lost SYN leads to another attempt instead.
--- a/crates/cloverpost/src/gateway/faults.rs
+++ b/crates/cloverpost/src/gateway/faults.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
-use crate::gateway::socket;
+use crate::socket;
 
 /// How the paths from this VM to all upstreams fail.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod paths;
 mod peers;
 mod rate_limits;
 
@@ -15,6 +16,7 @@
 
 use crate::peer;
 
+pub use paths::Paths;
 pub use peers::Peers;
 pub use rate_limits::RateLimits;
 
@@ -63,8 +65,8 @@
     pub rate_limits: RateLimits,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
-    /// Attempts to open a connection to an upstream, by result.
-    pub connects: IntCounterVec,
+    /// Paths to upstreams.
+    pub paths: Paths,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Time to first byte in seconds, by route.
@@ -164,11 +166,7 @@
                 "upstream_connections_total",
                 "connections opened to upstreams",
             ),
-            connects: counters(
-                "upstream_connects_total",
-                "attempts to open a connection to an upstream",
-                &["result"],
-            ),
+            paths: Paths::register(&registry),
             in_flight: gauge("in_flight", "requests in flight"),
             first_byte: register(
                 &registry,
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod loads;
 pub mod metrics;
 mod operator_server;
+pub mod path;
 pub mod pool;
 mod rate_limits;
 mod reload;
@@ -37,9 +38,9 @@
 pub mod settings;
 mod shared;
 mod slot;
-mod socket;
 pub mod store;
 mod stream;
+mod tunnels;
 mod unary;
 pub mod vm;
 
--- a/crates/cloverpost/src/gateway/operator_server.rs
+++ b/crates/cloverpost/src/gateway/operator_server.rs
@@ -13,8 +13,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
-use crate::gateway::{Shared, socket};
+use crate::socket;
 
 const METRICS_PATH: &str = "/metrics";
 /// Timeout for connections without a request.
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -14,11 +14,13 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::AbortHandle;
 
 use crate::clock::Clock;
 use crate::gateway::dial::{self, Dialer};
-use crate::gateway::faults::Faults;
+use crate::gateway::faults::{self, Faults};
+use crate::gateway::path::Via;
 
 /// Idle time after which a connection is not reused, unless the upstream states its
 /// keep-alive timeout.
@@ -55,6 +57,8 @@
     /// Whether the connection has served a request before.
     pub is_used: bool,
     upstream: id::Upstream,
+    /// The tunnel that the connection uses, if it is not direct.
+    via: Option<Via>,
     /// Keep-alive timeout that the upstream stated.
     keep_alive: Option<Duration>,
     driver: AbortHandle,
@@ -67,6 +71,18 @@
 }
 
 impl Connection {
+    /// Whether the connection leads through another VM.
+    #[must_use]
+    pub const fn is_tunnelled(&self) -> bool {
+        self.via.is_some()
+    }
+
+    /// Whether the connection takes no further request.
+    fn is_over(&self) -> bool {
+        let via = self.via.as_ref();
+        self.sender.is_closed() || via.is_some_and(|via| via.liveness.is_over())
+    }
+
     /// Records the timeout of a `Keep-Alive` header in a response head.
     pub fn record_keep_alive(&mut self, head: &http::response::Parts) {
         let value = head
@@ -115,7 +131,28 @@
 
     /// Opens a connection to `upstream`.
     pub async fn connect(&self, upstream: &directory::Upstream) -> Result<Connection, dial::Error> {
-        let stream = self.dialer.dial(upstream.address).await?;
+        let stream = self.dial(upstream).await?;
+        self.adopt(upstream, stream, None).await
+    }
+
+    /// Opens a direct TCP connection to `upstream`.
+    pub async fn dial(
+        &self,
+        upstream: &directory::Upstream,
+    ) -> Result<faults::Stream, dial::Error> {
+        self.dialer.dial(upstream.address).await
+    }
+
+    /// Makes a connection of `stream`, which leads to `upstream`, through `via` if set.
+    pub async fn adopt<S>(
+        &self,
+        upstream: &directory::Upstream,
+        stream: S,
+        via: Option<Via>,
+    ) -> Result<Connection, dial::Error>
+    where
+        S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| dial::Error::Failed)?;
         let driver = tokio::spawn(async move {
@@ -126,20 +163,15 @@
             sender,
             is_used: false,
             upstream: upstream.id.clone(),
+            via,
             keep_alive: None,
             driver: driver.abort_handle(),
         })
     }
 
-    /// Whether `upstream` refuses connections, as while its process is down.
-    pub async fn is_refused(&self, upstream: &directory::Upstream) -> bool {
-        let dialled = self.dialer.dial(upstream.address).await;
-        matches!(dialled, Err(dial::Error::Refused))
-    }
-
     /// Returns a connection to the pool after its response was read to the end.
     pub fn put_back(&self, mut connection: Connection) {
-        if connection.sender.is_closed() {
+        if connection.is_over() {
             return;
         }
         connection.is_used = true;
@@ -158,6 +190,13 @@
         self.idle().remove(upstream);
     }
 
+    /// Closes the idle connections to `upstream` that lead through other VMs.
+    pub fn close_idle_tunnels(&self, upstream: &id::Upstream) {
+        if let Some(connections) = self.idle().get_mut(upstream) {
+            connections.retain(|entry| !entry.connection.is_tunnelled());
+        }
+    }
+
     /// Closes connections past their idle limit and those to upstreams that are not in
     /// `view`.
     pub fn evict_expired(&self, view: &directory::View) {
@@ -181,7 +220,7 @@
 impl IdleConnection {
     /// Whether the connection is closed or past its idle limit.
     fn is_expired(&self, now: time::Moment) -> bool {
-        self.connection.sender.is_closed() || now.since(self.since) >= self.max_idle(false)
+        self.connection.is_over() || now.since(self.since) >= self.max_idle(false)
     }
 
     /// Idle time up to which the connection may be reused.
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -18,7 +18,8 @@
 
 use crate::gateway::codec::Codec;
 use crate::gateway::shared::Phase;
-use crate::gateway::{Shared, route, socket};
+use crate::gateway::{Shared, route};
+use crate::socket;
 
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicI64, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    balance, budget, cold, directory, escalation, exposure, id, poison, quota, throttle, time,
+    balance, budget, cold, directory, escalation, exposure, id, path, poison, quota, throttle, time,
 };
 use tokio::sync::watch;
 
@@ -19,6 +19,7 @@
 use crate::gateway::metrics::Metrics;
 use crate::gateway::pool::Pool;
 use crate::gateway::settings::Settings;
+use crate::peer;
 use crate::quarantine::Quarantine;
 
 /// Share of the fleet's retry budget distributed to VMs. The rest absorbs requests that VMs count
@@ -51,6 +52,10 @@
     pub is_routable: watch::Sender<bool>,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Links to peers, once the control thread has bound them.
+    pub links: OnceLock<peer::Links>,
+    /// The other VMs.
+    pub peers: ArcSwap<Vec<directory::Member>>,
     /// Metrics exported by this VM.
     pub metrics: Metrics,
     /// Progress of a graceful shutdown.
@@ -60,6 +65,8 @@
     successes: Mutex<poison::Successes>,
     given_up: Mutex<poison::GivenUp>,
     balancer: Mutex<balance::Balancer>,
+    paths: Mutex<path::Register>,
+    helpers: Mutex<path::Helpers>,
     speed: Mutex<balance::Speed>,
     cold: Mutex<cold::Register>,
     throttle: Mutex<throttle::Register>,
@@ -102,12 +109,16 @@
             view: ArcSwap::default(),
             is_routable: watch::Sender::new(false),
             pool: Pool::new(clock),
+            links: OnceLock::new(),
+            peers: ArcSwap::default(),
             metrics: Metrics::new(),
             phase: watch::Sender::new(Phase::Serving),
             quarantine: Quarantine::with_options(crashes::OPTIONS),
             successes: Mutex::new(crashes::no_successes()),
             given_up: Mutex::new(crashes::none_given_up()),
             balancer: Mutex::new(balancer),
+            paths: Mutex::default(),
+            helpers: Mutex::default(),
             speed: Mutex::default(),
             cold: Mutex::new(cold),
             throttle: Mutex::new(throttle),
@@ -140,6 +151,16 @@
         lock(&self.balancer)
     }
 
+    /// Direct paths to upstreams that are broken.
+    pub fn paths(&self) -> MutexGuard<'_, path::Register> {
+        lock(&self.paths)
+    }
+
+    /// VMs that connections are asked of.
+    pub fn helpers(&self) -> MutexGuard<'_, path::Helpers> {
+        lock(&self.helpers)
+    }
+
     /// Prompt processing rates of models.
     pub fn speed(&self) -> MutexGuard<'_, balance::Speed> {
         lock(&self.speed)
--- /dev/null
+++ b/crates/cloverpost/src/gateway/tunnels.rs
@@ -0,0 +1,88 @@
+//! Tunnels that this VM carries for others.
+//!
+//! It connects to upstreams of its own tables only, on its own direct path: never through a third
+//! VM. Bytes are passed on as they come, so decisions, counts and timeouts stay with the VM that
+//! took the request.
+
+use std::sync::Arc;
+
+use cloverpost_core::directory;
+use prometheus::IntGauge;
+use tokio::io;
+
+use crate::gateway::Shared;
+use crate::gateway::codec::Codec;
+use crate::gateway::dial;
+use crate::gateway::path;
+use crate::gateway::shared::Phase;
+use crate::peer::tunnel::{self, Incoming, Rejection};
+
+/// Largest number of open tunnels, at about 20 kB each.
+const MAX_TUNNELS: i64 = 256;
+
+/// Counts an open tunnel until it is dropped.
+struct Guard(IntGauge);
+
+impl Guard {
+    fn new(gauge: &IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
+/// Serves the tunnels that other VMs ask for.
+pub async fn run<C: Codec>(shared: Arc<Shared<C>>, mut inbox: tunnel::Inbox) {
+    while let Some(incoming) = inbox.recv().await {
+        let guard = Guard::new(&shared.metrics.paths.open);
+        tokio::spawn(serve(shared.clone(), incoming, guard));
+    }
+}
+
+async fn serve<C: Codec>(shared: Arc<Shared<C>>, incoming: Incoming, _guard: Guard) {
+    let served = &shared.metrics.paths.served;
+    let mut stream = match open(&shared, &incoming.tunnel).await {
+        Ok(stream) => stream,
+        Err(rejection) => {
+            served.with_label_values(&[rejection.as_str()]).inc();
+            incoming.reject(rejection);
+            return;
+        }
+    };
+    served.with_label_values(&["connected"]).inc();
+    if let Some(mut tunnel) = incoming.accept() {
+        // Either end learns of an error as its own connection is dropped.
+        let _ = io::copy_bidirectional(&mut tunnel, &mut stream).await;
+    }
+}
+
+/// Connects to the upstream that `tunnel` leads to.
+async fn open<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    tunnel: &directory::Tunnel,
+) -> Result<crate::gateway::faults::Stream, Rejection> {
+    let is_serving = *shared.phase.borrow() == Phase::Serving;
+    if !is_serving || shared.metrics.paths.open.get() > MAX_TUNNELS {
+        return Err(Rejection::Busy);
+    }
+    let view = shared.view.load_full();
+    let pool = view.pools.get(&tunnel.service);
+    let mut upstreams = pool.into_iter().flat_map(|pool| &pool.upstreams);
+    let upstream = upstreams.find(|upstream| tunnel.leads_to(upstream));
+    let upstream = upstream.ok_or(Rejection::UnknownUpstream)?;
+    if shared.paths().is_broken(&upstream.id) {
+        return Err(Rejection::UpstreamUnreachable);
+    }
+    match shared.pool.dial(upstream).await {
+        Ok(stream) => Ok(stream),
+        Err(dial::Error::Refused) if path::reaches_others(shared, upstream).await => {
+            Err(Rejection::UpstreamRefused)
+        }
+        Err(_) => Err(Rejection::UpstreamUnreachable),
+    }
+}
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -21,7 +21,7 @@
 use crate::gateway::settings::Settings;
 use crate::gateway::shared::Phase;
 use crate::gateway::store::Store;
-use crate::gateway::{Shared, operator_server, reload, server};
+use crate::gateway::{Shared, operator_server, path, reload, server, tunnels};
 use crate::peer;
 
 /// Delay between failing the readiness check and closing connections. The balancer checks every
@@ -86,6 +86,11 @@
             tokio::spawn(reload::run(file, shared.clone()));
         }
         let own = start_control(&shared, &store, keys).await?;
+        let tunnels = shared.links.get().and_then(peer::Links::take_tunnels);
+        if let Some(tunnels) = tunnels {
+            tokio::spawn(tunnels::run(shared.clone(), tunnels));
+        }
+        tokio::spawn(path::probe(shared.clone()));
         Ok(Self {
             shared,
             store,
@@ -136,12 +141,15 @@
     own: &Member,
     server: tokio::task::JoinHandle<()>,
 ) {
+    if let Some(links) = shared.links.get() {
+        links.drain_tunnels();
+    }
     tokio::time::sleep(READINESS_DELAY).await;
     log::info!(in_flight = shared.metrics.in_flight.get(); "closing connections");
     shared.phase.send_replace(Phase::Closing);
     // A panic of the server has already been logged.
     let _ = server.await;
-    while shared.metrics.in_flight.get() > 0 {
+    while shared.metrics.in_flight.get() > 0 || shared.metrics.paths.open.get() > 0 {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     if let Err(error) = store.deregister(own).await {
@@ -178,6 +186,8 @@
                 return;
             }
         };
+        // Set once: there is one control thread.
+        let _ = shared.links.set(links.clone());
         let own = Member {
             vm: settings.vm.clone(),
             zone: settings.zone.clone(),
--- a/crates/cloverpost/src/lib.rs
+++ b/crates/cloverpost/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod roster;
 pub mod settings;
 pub mod snapshot;
+mod socket;
 pub mod upstream;
 pub mod vm;
--- a/crates/cloverpost/src/peer/connect.rs
+++ b/crates/cloverpost/src/peer/connect.rs
@@ -14,8 +14,10 @@
 use crate::peer::auth::{Direction, Session, Transcript};
 use crate::peer::counting_stream::CountingStream;
 use crate::peer::path::Path;
-use crate::peer::shared::Shared;
+use crate::peer::shared::{Purpose, Shared};
+use crate::peer::tunnel::{self, Tunnel};
 use crate::peer::{Error, Target, body};
+use crate::socket;
 
 /// Maximum body length of handshake messages, in bytes.
 pub const MAX_HELLO_LEN: usize = 1024;
@@ -33,9 +35,13 @@
 
 impl Connection {
     /// Connects to `target` and performs the handshake.
-    pub async fn open(shared: Arc<Shared>, target: Target) -> Result<Self, Error> {
+    pub async fn open(
+        shared: Arc<Shared>,
+        target: Target,
+        purpose: Purpose,
+    ) -> Result<Self, Error> {
         let timeout = shared.options.handshake_timeout;
-        let opening = Self::open_without_timeout(&shared, &target);
+        let opening = Self::open_without_timeout(&shared, &target, purpose);
         let opened = time::timeout(timeout, opening)
             .await
             .unwrap_or(Err(Error::Unreachable));
@@ -46,12 +52,19 @@
         opened
     }
 
-    async fn open_without_timeout(shared: &Arc<Shared>, target: &Target) -> Result<Self, Error> {
+    async fn open_without_timeout(
+        shared: &Arc<Shared>,
+        target: &Target,
+        purpose: Purpose,
+    ) -> Result<Self, Error> {
         let socket = TcpStream::connect(target.address)
             .await
             .map_err(|_| Error::Unreachable)?;
-        // Nagle's algorithm would delay small frames.
-        let _ = socket.set_nodelay(true);
+        match purpose {
+            // Messages have timeouts of their own.
+            Purpose::Messages => socket::disable_nagle(&socket),
+            Purpose::Tunnels => socket::configure(&socket, socket::UPSTREAM_TIMEOUTS),
+        }
         let socket = CountingStream::new(socket, shared.counters.clone());
         let (mut sender, connection) = client::Builder::new()
             .enable_push(false)
@@ -102,6 +115,27 @@
         }
     }
 
+    /// Opens a tunnel; `frame` tells where it leads.
+    pub async fn open_tunnel(&self, frame: &Frame) -> Result<Tunnel, tunnel::Error> {
+        let mut sender = self.sender.clone().ready().await?;
+        let (response, mut stream) = sender.send_request(Path::Tunnel.request(), false)?;
+        let stream_id = stream.stream_id().as_u32();
+        let tag = self
+            .session
+            .tag(Direction::Request, stream_id, frame.as_bytes());
+        stream.send_data(body::with_tag(frame.as_bytes(), tag), false)?;
+        let response = response.await?;
+        match response.status() {
+            StatusCode::OK => Ok(Tunnel::new(stream, response.into_body(), Bytes::new())),
+            status => Err(tunnel::error_of(status)),
+        }
+    }
+
+    /// Tells whether the connection still takes new work.
+    pub fn liveness(&self) -> tunnel::Liveness {
+        tunnel::Liveness::new(self.sender.clone())
+    }
+
     /// Reads and verifies the response on the stream `stream_id`.
     async fn read_response(
         &self,
--- a/crates/cloverpost/src/peer/inbound.rs
+++ b/crates/cloverpost/src/peer/inbound.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverpost_core::directory;
 use cloverpost_wire::{self as wire, Frame, Message, hello};
 use h2::server;
 use http::{Response, StatusCode};
@@ -17,7 +18,8 @@
 use crate::peer::counting_stream::CountingStream;
 use crate::peer::path::Path;
 use crate::peer::shared::Shared;
-use crate::peer::{Incoming, Reply, body};
+use crate::peer::{Incoming, Reply, body, tunnel};
+use crate::socket;
 
 /// Maximum number of concurrent streams per connection.
 const MAX_STREAMS: u32 = 256;
@@ -70,13 +72,14 @@
     /// The claimed identity and the transcript, from the challenge until the proof.
     pending_challenge: Mutex<Option<(hello::Identity, Transcript)>>,
     auth_state: watch::Sender<AuthState>,
+    /// Whether the peer has opened a tunnel.
+    carries_tunnels: watch::Sender<bool>,
 }
 
 impl Connection {
     /// Serves the connection until it ends or the links are closed.
     pub async fn serve(shared: Arc<Shared>, socket: TcpStream) {
-        // Nagle's algorithm would delay small frames.
-        let _ = socket.set_nodelay(true);
+        socket::configure(&socket, socket::PEER_TIMEOUTS);
         let socket = CountingStream::new(socket, shared.counters.clone());
         let handshake = server::Builder::new()
             .max_concurrent_streams(MAX_STREAMS)
@@ -96,6 +99,7 @@
             shared,
             pending_challenge: Mutex::default(),
             auth_state: watch::Sender::new(AuthState::Pending),
+            carries_tunnels: watch::Sender::new(false),
         }
     }
 
@@ -103,11 +107,15 @@
         let options = &self.shared.options;
         let mut closing = self.shared.closing.subscribe();
         let mut auth_state = self.auth_state.subscribe();
-        let mut is_authenticated = false;
+        let (mut is_authenticated, mut is_draining) = (false, false);
         let mut deadline = Instant::now() + options.handshake_timeout;
         loop {
             tokio::select! {
                 _ = closing.wait_for(|closing| *closing) => break,
+                () = self.wait_for_drain(), if !is_draining => {
+                    is_draining = true;
+                    h2.graceful_shutdown();
+                }
                 () = time::sleep_until(deadline) => {
                     if !is_authenticated {
                         self.shared.counters.refused_stranger.increment();
@@ -135,6 +143,15 @@
         self.shut_down(h2).await;
     }
 
+    /// Completes when the connection carries tunnels and should take no more.
+    async fn wait_for_drain(&self) {
+        let mut carries_tunnels = self.carries_tunnels.subscribe();
+        let mut draining = self.shared.is_draining.subscribe();
+        // The senders live as long as this connection.
+        let _ = carries_tunnels.wait_for(|carries| *carries).await;
+        let _ = draining.wait_for(|draining| *draining).await;
+    }
+
     /// Shuts the connection down gracefully, with a time limit for open streams.
     async fn shut_down(&self, mut h2: server::Connection<CountingStream, Bytes>) {
         let limit = match self.auth_state.send_replace(AuthState::Rejected) {
@@ -155,13 +172,20 @@
     ) {
         let path = Path::parse(request.uri().path());
         let body = request.into_body();
+        if path == Some(Path::Tunnel) {
+            if let Err((rejection, mut respond)) = self.handle_tunnel(body, respond).await {
+                // Fails if the peer has disconnected.
+                let _ = self.reject(&mut respond, &rejection);
+            }
+            return;
+        }
         let stream_id = respond.stream_id().as_u32();
         let handled = match path {
             Some(Path::Hello) => self.challenge(body).await.map(Some),
             Some(Path::Proof) => self.verify_proof(body).await.map(|()| None),
             Some(Path::OneWay) => self.handle_one_way(body, stream_id).await.map(|()| None),
             Some(Path::Request) => self.handle_request(body, stream_id).await.map(Some),
-            None => Err(Rejection::Frame(wire::Error::Malformed)),
+            Some(Path::Tunnel) | None => Err(Rejection::Frame(wire::Error::Malformed)),
         };
         // Fails if the peer has disconnected.
         let _ = match handled {
@@ -234,6 +258,42 @@
         Ok(body::with_tag(frame.as_bytes(), tag))
     }
 
+    /// Hands a tunnel over to the traffic thread.
+    async fn handle_tunnel(
+        &self,
+        mut body: h2::RecvStream,
+        respond: server::SendResponse<Bytes>,
+    ) -> Result<(), (Rejection, server::SendResponse<Bytes>)> {
+        let stream_id = respond.stream_id().as_u32();
+        let (from, tunnel, unread) = match self.read_tunnel(&mut body, stream_id).await {
+            Ok(read) => read,
+            Err(rejection) => return Err((rejection, respond)),
+        };
+        self.carries_tunnels.send_replace(true);
+        let incoming = tunnel::Incoming {
+            from,
+            tunnel,
+            respond,
+            body,
+            unread,
+        };
+        let sent = self.shared.tunnels.try_send(incoming);
+        sent.map_err(|error| (Rejection::Busy, error.into_inner().respond))
+    }
+
+    async fn read_tunnel(
+        &self,
+        body: &mut h2::RecvStream,
+        stream_id: u32,
+    ) -> Result<(hello::Identity, directory::Tunnel, Bytes), Rejection> {
+        let peer = self.authenticated_peer().await?;
+        let (tagged, unread) = body::read_first(body, MAX_HELLO_LEN).await?;
+        match verify(&tagged, stream_id, &peer)? {
+            Message::Tunnel(tunnel) => Ok((peer.identity.clone(), tunnel, unread)),
+            _ => Err(Rejection::Frame(wire::Error::Malformed)),
+        }
+    }
+
     /// Waits until the peer is authenticated. The handshake deadline in [`Self::run`]
     /// bounds the wait.
     async fn authenticated_peer(&self) -> Result<Arc<Peer>, Rejection> {
@@ -331,17 +391,22 @@
     peer: &Peer,
 ) -> Result<Message, Rejection> {
     let tagged = body::read(&mut body, wire::MAX_BODY_LEN).await?;
-    let frame = peer
-        .session
-        .verify(Direction::Request, stream_id, &tagged)
-        .ok_or(Rejection::InvalidTag)?;
-    let message = Frame::decode(frame)?;
+    let message = verify(&tagged, stream_id, peer)?;
     if matches!(message, Message::Hello(_)) {
         return Err(Rejection::Frame(wire::Error::Malformed));
     }
     Ok(message)
 }
 
+/// Verifies the tag of a frame and decodes it.
+fn verify(tagged: &[u8], stream_id: u32, peer: &Peer) -> Result<Message, Rejection> {
+    let frame = peer
+        .session
+        .verify(Direction::Request, stream_id, tagged)
+        .ok_or(Rejection::InvalidTag)?;
+    Ok(Frame::decode(frame)?)
+}
+
 fn send(respond: &mut server::SendResponse<Bytes>, body: Option<Bytes>) -> Result<(), h2::Error> {
     let Some(body) = body else {
         return respond
--- a/crates/cloverpost/src/peer/link.rs
+++ b/crates/cloverpost/src/peer/link.rs
@@ -10,7 +10,8 @@
 use crate::peer::backoff::Backoff;
 use crate::peer::connect::Connection;
 use crate::peer::path::Path;
-use crate::peer::shared::Shared;
+use crate::peer::shared::{Purpose, Shared};
+use crate::peer::tunnel::{self, Liveness, Tunnel};
 use crate::peer::{Error, Target};
 
 /// Maximum number of gossip messages in flight to a peer.
@@ -19,6 +20,7 @@
 /// Outbound link to one peer: its connection, if open, and its gossip queue.
 pub struct Link {
     pub target: Target,
+    pub purpose: Purpose,
     shared: Arc<Shared>,
     gossip_queue: Mutex<VecDeque<Frame>>,
     gossip_queued: Notify,
@@ -37,9 +39,10 @@
 
 impl Link {
     /// Creates a link, which connects on the first message.
-    pub fn new(target: Target, shared: Arc<Shared>) -> Self {
+    pub fn new(target: Target, purpose: Purpose, shared: Arc<Shared>) -> Self {
         Self {
             target,
+            purpose,
             gossip_queue: Mutex::default(),
             gossip_queued: Notify::new(),
             stopped: Notify::new(),
@@ -124,6 +127,24 @@
         result
     }
 
+    /// Opens a tunnel and returns it with the liveness of the link.
+    pub async fn open_tunnel(&self, frame: &Frame) -> Result<(Tunnel, Liveness), tunnel::Error> {
+        let connection = self.connect().await?;
+        let opening = time::timeout(
+            self.shared.options.message_timeout,
+            connection.open_tunnel(frame),
+        );
+        let opened = opening
+            .await
+            .unwrap_or(Err(tunnel::Error::Peer(Error::TimedOut)));
+        let outcome = match &opened {
+            Err(tunnel::Error::Peer(error)) => Err(error.clone()),
+            Ok(_) | Err(tunnel::Error::Rejected(_)) => Ok(None),
+        };
+        self.record_outcome(&connection, &outcome).await;
+        Ok((opened?, connection.liveness()))
+    }
+
     async fn call_with_faults(&self, path: Path, frame: &Frame) -> Result<Option<Message>, Error> {
         let options = &self.shared.options;
         let outbound = options.faults.next_effect(&options.vm, &self.target.vm);
@@ -170,7 +191,7 @@
         if state.backoff.is_active() {
             return Err(Error::BackingOff);
         }
-        let opening = Connection::open(self.shared.clone(), self.target.clone());
+        let opening = Connection::open(self.shared.clone(), self.target.clone(), self.purpose);
         let opened = self.shared.runtime.spawn(opening).await;
         match opened.unwrap_or(Err(Error::Closed)) {
             Ok(connection) => Ok(state.connection.insert(Arc::new(connection)).clone()),
--- a/crates/cloverpost/src/peer/links.rs
+++ b/crates/cloverpost/src/peer/links.rs
@@ -2,15 +2,20 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
+use cloverpost_core::directory;
 use cloverpost_wire::{Frame, Message, hello};
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::peer::path::Path;
-use crate::peer::shared::Shared;
-use crate::peer::{Counters, Error, Inbox, Options, Target, accept};
+use crate::peer::shared::{Purpose, Shared};
+use crate::peer::tunnel::{self, Liveness};
+use crate::peer::{Counters, Error, Inbox, Options, Target, Tunnel, accept};
+
+/// Capacity of the queue of tunnels that peers ask for.
+const TUNNEL_INBOX_CAPACITY: usize = 64;
 
 /// The links of a VM to its peers; clones refer to the same links.
 ///
@@ -20,6 +25,7 @@
 pub struct Links {
     shared: Arc<Shared>,
     local_addr: SocketAddr,
+    tunnels: Arc<Mutex<Option<tunnel::Inbox>>>,
     /// Stops the accept task, which signals the sender once all connections are closed.
     stop: mpsc::Sender<oneshot::Sender<()>>,
 }
@@ -35,12 +41,14 @@
             address: options.advertised.unwrap_or(local_addr),
         };
         let (sender, inbox) = mpsc::channel(options.inbox_capacity);
-        let shared = Arc::new(Shared::new(options, identity, sender));
+        let (tunnel_sender, tunnels) = mpsc::channel(TUNNEL_INBOX_CAPACITY);
+        let shared = Arc::new(Shared::new(options, identity, sender, tunnel_sender));
         let (stop, stopping) = mpsc::channel(1);
         tokio::spawn(accept::run(listener, shared.clone(), stopping));
         let links = Self {
             shared,
             local_addr,
+            tunnels: Arc::new(Mutex::new(Some(tunnels))),
             stop,
         };
         Ok((links, inbox))
@@ -76,7 +84,7 @@
     pub fn send(&self, target: &Target, message: &Message) -> Result<(), Error> {
         let frame = self.encode(message)?;
         self.shared
-            .with_link(target, |link| link.enqueue_gossip(frame));
+            .with_link(target, Purpose::Messages, |link| link.enqueue_gossip(frame));
         Ok(())
     }
 
@@ -91,6 +99,31 @@
         response.ok_or(Error::Unanswered)
     }
 
+    /// Opens a tunnel through `target`. Returns it with the liveness of its link.
+    pub async fn open_tunnel(
+        &self,
+        target: &Target,
+        tunnel: directory::Tunnel,
+    ) -> Result<(Tunnel, Liveness), tunnel::Error> {
+        let frame = self.encode(&Message::Tunnel(tunnel))?;
+        let (link, _permit) = self.shared.with_link(target, Purpose::Tunnels, |link| {
+            Ok::<_, Error>((link.clone(), link.acquire_call_permit()?))
+        })?;
+        link.open_tunnel(&frame).await
+    }
+
+    /// Receives the tunnels that peers ask for. Returns `None` after the first call.
+    #[must_use]
+    pub fn take_tunnels(&self) -> Option<tunnel::Inbox> {
+        let mut tunnels = self.tunnels.lock();
+        tunnels.as_mut().ok()?.take()
+    }
+
+    /// Lets peers open no more tunnels here; open ones go on.
+    pub fn drain_tunnels(&self) {
+        self.shared.is_draining.send_replace(true);
+    }
+
     /// Stops accepting connections, waits up to the message timeout for pending
     /// responses, and closes all links. Queued gossip is dropped, and clones fail
     /// with [`Error::Closed`] afterwards.
@@ -109,7 +142,7 @@
         path: Path,
     ) -> Result<Option<Message>, Error> {
         let frame = self.encode(message)?;
-        let (link, _permit) = self.shared.with_link(target, |link| {
+        let (link, _permit) = self.shared.with_link(target, Purpose::Messages, |link| {
             Ok::<_, Error>((link.clone(), link.acquire_call_permit()?))
         })?;
         link.call(path, &frame).await
--- a/crates/cloverpost/src/peer/mod.rs
+++ b/crates/cloverpost/src/peer/mod.rs
@@ -31,6 +31,8 @@
 //! drops its oldest message, every other call fails with an [`Error`] that shows
 //! whether the message may have been received. Connecting to an unreachable peer
 //! is retried with exponential backoff, and calls fail immediately meanwhile.
+//!
+//! Beside messages, links carry [`tunnel`]s.
 
 mod accept;
 mod auth;
@@ -51,6 +53,7 @@
 mod path;
 mod shared;
 mod target;
+pub mod tunnel;
 
 pub use counters::Counters;
 pub use error::Error;
@@ -60,3 +63,4 @@
 pub use links::Links;
 pub use options::Options;
 pub use target::Target;
+pub use tunnel::Tunnel;
--- a/crates/cloverpost/src/peer/path.rs
+++ b/crates/cloverpost/src/peer/path.rs
@@ -11,10 +11,18 @@
     OneWay,
     /// A message that expects a response.
     Request,
+    /// A tunnel to an upstream.
+    Tunnel,
 }
 
 impl Path {
-    const ALL: [Self; 4] = [Self::Hello, Self::Proof, Self::OneWay, Self::Request];
+    const ALL: [Self; 5] = [
+        Self::Hello,
+        Self::Proof,
+        Self::OneWay,
+        Self::Request,
+        Self::Tunnel,
+    ];
 
     /// The path component of the request URI.
     pub const fn as_str(self) -> &'static str {
@@ -23,6 +31,7 @@
             Self::Proof => "/proof",
             Self::OneWay => "/tell",
             Self::Request => "/ask",
+            Self::Tunnel => "/tunnel",
         }
     }
 
--- a/crates/cloverpost/src/peer/shared.rs
+++ b/crates/cloverpost/src/peer/shared.rs
@@ -9,7 +9,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::peer::link::Link;
-use crate::peer::{Counters, Incoming, Options, Target};
+use crate::peer::{Counters, Incoming, Options, Target, tunnel};
 
 /// State shared by the tasks of all links.
 pub struct Shared {
@@ -21,11 +21,28 @@
     /// Runtime that the links were bound on. All sockets belong to it, even if a
     /// call from another runtime opens the connection.
     pub runtime: runtime::Handle,
-    links: Mutex<HashMap<Target, Arc<Link>>>,
+    /// Wishes of peers for tunnels.
+    pub tunnels: mpsc::Sender<tunnel::Incoming>,
+    /// Whether peers should open no more tunnels here.
+    pub is_draining: watch::Sender<bool>,
+    message_links: Mutex<HashMap<Target, Arc<Link>>>,
+    tunnel_links: Mutex<HashMap<Target, Arc<Link>>>,
+}
+
+/// What a link is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Purpose {
+    Messages,
+    Tunnels,
 }
 
 impl Shared {
-    pub fn new(options: Options, identity: hello::Identity, inbox: mpsc::Sender<Incoming>) -> Self {
+    pub fn new(
+        options: Options,
+        identity: hello::Identity,
+        inbox: mpsc::Sender<Incoming>,
+        tunnels: mpsc::Sender<tunnel::Incoming>,
+    ) -> Self {
         Self {
             options,
             identity,
@@ -33,7 +50,10 @@
             inbox,
             closing: watch::Sender::new(false),
             runtime: runtime::Handle::current(),
-            links: Mutex::default(),
+            tunnels,
+            is_draining: watch::Sender::new(false),
+            message_links: Mutex::default(),
+            tunnel_links: Mutex::default(),
         }
     }
 
@@ -53,23 +73,24 @@
         *self.closing.borrow()
     }
 
-    /// Calls `work` with the link to `target`, which is created if it does not exist.
+    /// Calls `work` with the link to `target` for `purpose`, which is created if it does not exist.
     ///
     /// The map stays locked during the call, so that the link cannot be removed as
     /// idle before `work` has used it.
     pub fn with_link<T>(
         self: &Arc<Self>,
         target: &Target,
+        purpose: Purpose,
         work: impl FnOnce(&Arc<Link>) -> T,
     ) -> T {
-        let mut links = self.lock();
+        let mut links = self.lock(purpose);
         if let Some(link) = links.get(target) {
             return work(link);
         }
         if links.len() >= self.options.max_links {
             evict(&mut links);
         }
-        let link = Arc::new(Link::new(target.clone(), self.clone()));
+        let link = Arc::new(Link::new(target.clone(), purpose, self.clone()));
         links.insert(target.clone(), link.clone());
         self.spawn(link.clone().run());
         work(&link)
@@ -78,7 +99,7 @@
     /// Removes `link` if its idle timeout has elapsed. Returns whether it is no longer
     /// registered.
     pub fn remove_if_idle(&self, link: &Arc<Link>) -> bool {
-        let mut links = self.lock();
+        let mut links = self.lock(link.purpose);
         let is_registered = links
             .get(&link.target)
             .is_some_and(|current| Arc::ptr_eq(current, link));
@@ -92,16 +113,21 @@
 
     /// Removes all links.
     pub fn clear(&self) {
-        self.lock().clear();
+        self.lock(Purpose::Messages).clear();
+        self.lock(Purpose::Tunnels).clear();
     }
 
     /// Number of outbound links, including those still connecting.
     pub fn len(&self) -> usize {
-        self.lock().len()
+        self.lock(Purpose::Messages).len() + self.lock(Purpose::Tunnels).len()
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Target, Arc<Link>>> {
-        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self, purpose: Purpose) -> MutexGuard<'_, HashMap<Target, Arc<Link>>> {
+        let links = match purpose {
+            Purpose::Messages => &self.message_links,
+            Purpose::Tunnels => &self.tunnel_links,
+        };
+        links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -31,10 +31,19 @@
     keep_alive: Duration::from_secs(1),
 };
 
+/// Timeouts for VMs that opened a link. Their messages have timeouts of their own, but tunnels
+/// have not.
+pub const PEER_TIMEOUTS: DeadPeerTimeouts = CALLER_TIMEOUTS;
+
+/// Disables Nagle's algorithm on `stream`, which would delay small messages.
+pub fn disable_nagle(stream: &TcpStream) {
+    // Without the option, messages are only late.
+    let _ = stream.set_nodelay(true);
+}
+
 /// Disables Nagle's algorithm on `stream` and enables detection of a dead peer.
 pub fn configure(stream: &TcpStream, timeouts: DeadPeerTimeouts) {
-    // Nagle's algorithm would delay small events of a stream.
-    let _ = stream.set_nodelay(true);
+    disable_nagle(stream);
     let socket = SockRef::from(stream);
     let keep_alive = TcpKeepalive::new()
         .with_time(timeouts.keep_alive)
--- a/crates/cloverpost/tests/behaviour/peer/mod.rs
+++ b/crates/cloverpost/tests/behaviour/peer/mod.rs
@@ -4,3 +4,4 @@
 pub mod fixture;
 mod links;
 mod members;
+mod tunnels;
