fix(cloverpost): a refusal that only this VM sees is no crash of the upstream

What callers saw: where a cut reset connections and refused new ones, each request in flight was marked as one under which its upstream crashed; three marks reject copies of an innocent request on all VMs. Cause: a VM took a refused connect after a lost connection for the crash of the upstream, and told all others. Change: a lost connection is checked once for all requests on it. The upstream counts as down if this VM is refused, reaches another upstream, and none of two other VMs connects; if this VM is cut off already, only on the word of one that reaches others. A VM asked for a tunnel answers within 150 ms whether it reaches others. Why it works: a VM without paths reaches no other upstream, so its word counts neither here nor as a witness.

--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -1,7 +1,7 @@
 //! Requests that crash the upstreams that run them.
 //!
-//! An attempt that loses its connection to an upstream that then refuses connections is evidence
-//! against the request: its upstream crashed under it. So does one of many requests that were in
+//! An attempt that loses its connection to an upstream that no VM reaches then is evidence against
+//! the request: its upstream crashed under it. So does one of many requests that were in
 //! flight as an upstream crashed for another reason. A request that crashed several upstreams and
 //! succeeded on none is refused, on all VMs, until the quarantine is over.
 //!
@@ -18,8 +18,8 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
-use crate::gateway::dial;
 use crate::gateway::job::Job;
+use crate::gateway::path::{self, Loss};
 
 /// Options of the quarantine. A request whose upstream crashes for another reason may meet a
 /// second crash on its retry, but hardly a third.
@@ -30,9 +30,6 @@
 };
 /// Number of successes to remember, at about 40 bytes each.
 const SUCCESSES: usize = 8_192;
-/// Delay before the check of an upstream that closed a connection. The sockets of a process that
-/// ends are closed one after the other.
-const CHECK_DELAY: Duration = Duration::from_millis(10);
 /// Longest delay of a job for the check. A host that lost power does not answer it.
 const MAX_CHECK_WAIT: Duration = Duration::from_millis(50);
 /// Number of attempts to remember that were given up.
@@ -90,7 +87,8 @@
     dispatch.refusal(Code::Quarantined, REASON)
 }
 
-/// Records that `upstream` closed the connection while it may have run `job`.
+/// Records that the connection to `upstream` was lost while it may have run `job`. Returns what was
+/// lost with it, as far as is known in time.
 ///
 /// Waits for the check whether it crashed, up to [`MAX_CHECK_WAIT`]: a job that is sent again, or
 /// whose caller returns, before other VMs know of the crash would crash the next upstream.
@@ -98,11 +96,15 @@
     shared: &Arc<Shared<C>>,
     job: &Job,
     upstream: &Arc<directory::Upstream>,
-) {
+) -> Loss {
     let id = job.head.id.as_str().to_owned();
     let check = check_lost(shared.clone(), id, job.fingerprint(), upstream.clone());
     // After the timeout, the check goes on in the background. It does not panic.
-    let _ = tokio::time::timeout(MAX_CHECK_WAIT, tokio::spawn(check)).await;
+    let checked = tokio::time::timeout(MAX_CHECK_WAIT, tokio::spawn(check)).await;
+    match checked {
+        Ok(Ok(loss)) => loss,
+        Ok(Err(_)) | Err(_) => Loss::Path,
+    }
 }
 
 /// Records that this VM gave up an attempt on `upstream` before it ended.
@@ -134,28 +136,28 @@
     id: String,
     fingerprint: Fingerprint,
     upstream: Arc<directory::Upstream>,
-) {
-    tokio::time::sleep(CHECK_DELAY).await;
-    if !check_crash(&shared, &id, fingerprint, &upstream).await {
-        return;
+) -> Loss {
+    let loss = check_crash(&shared, &id, fingerprint, &upstream).await;
+    if loss != Loss::Upstream {
+        return loss;
     }
     let given_up = shared.given_up().take(&fingerprint, shared.clock.now());
     for upstream in given_up {
         check_crash(&shared, &id, fingerprint, &upstream).await;
     }
+    loss
 }
 
-/// Records a crash if `upstream` refuses connections, and tells other VMs. Returns whether it does.
-/// `id` is empty if the request was given up.
+/// Records a crash if `upstream` is down, and tells other VMs. `id` is empty if the request was given up.
 async fn check_crash<C: Codec>(
     shared: &Arc<Shared<C>>,
     id: &str,
     fingerprint: Fingerprint,
     upstream: &Arc<directory::Upstream>,
-) -> bool {
-    let dialled = shared.pool.dial(upstream).await;
-    if !matches!(dialled, Err(dial::Error::Refused)) {
-        return false;
+) -> Loss {
+    let loss = path::find_loss(shared, upstream).await;
+    if loss != Loss::Upstream {
+        return loss;
     }
     let service = upstream.service.as_str();
     log::info!(
@@ -167,7 +169,7 @@
     let now = shared.clock.now();
     let recorded = shared.quarantine.record_crash(fingerprint, evidence, now);
     recorded.await;
-    true
+    loss
 }
 
 /// Records that `job` succeeded, and dismisses evidence against it.
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -5,11 +5,13 @@
 //! through other VMs then, and [`probe`] tries the direct path again. What this VM does not reach is
 //! down only if a VM that reaches other upstreams says so.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use cloverpost_core::directory::{self, Member};
-use cloverpost_core::{id, path};
+use cloverpost_core::{id, path, time};
+use tokio::sync::OnceCell;
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -28,6 +30,10 @@
 const MAX_ASKED: usize = 6;
 /// Number of VMs that are asked whether an upstream is down.
 const WITNESSES: usize = 2;
+/// Delay before the check of an upstream that closed a connection.
+const LOSS_CHECK_DELAY: Duration = Duration::from_millis(10);
+/// Time after which a check says nothing about a connection that is lost then.
+const LOSS_CHECK_EXPIRY: Duration = Duration::from_millis(250);
 /// Number of other upstreams that a VM connects to, to find out whether it reaches any.
 const CONTROLS: usize = 3;
 /// Interval between checks for a direct path to try again.
@@ -42,6 +48,32 @@
     NoPath(dial::Error),
 }
 
+/// What was lost with a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Loss {
+    /// Only the connection: the upstream accepts another.
+    Connection,
+    /// The process of the upstream: no VM that reaches others reaches it.
+    Upstream,
+    /// This VM's path to it, as far as is known.
+    Path,
+}
+
+/// Checks for the cause of lost connections, of the last moment.
+#[derive(Debug, Default)]
+pub struct LossChecks(HashMap<id::Upstream, (time::Moment, Arc<OnceCell<Loss>>)>);
+
+impl LossChecks {
+    /// The latest check of `upstream`, or a new one if that is too old.
+    fn join(&mut self, upstream: &id::Upstream, now: time::Moment) -> Arc<OnceCell<Loss>> {
+        self.0
+            .retain(|_, (since, _)| now.since(*since) < LOSS_CHECK_EXPIRY);
+        let check = self.0.entry(upstream.clone());
+        let (_, check) = check.or_insert_with(|| (now, Arc::default()));
+        check.clone()
+    }
+}
+
 /// A tunnel that is open.
 #[derive(Debug)]
 pub struct Via {
@@ -54,8 +86,8 @@
 /// Why no VM opened a tunnel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum TunnelError {
-    /// A VM that reaches other upstreams was refused.
-    Refused,
+    /// A VM that reaches other upstreams does not reach this one.
+    Down,
     /// No VM that was asked knows.
     Unknown,
     /// There is no other VM.
@@ -70,7 +102,7 @@
     if shared.paths().is_broken(&upstream.id) {
         return match connect_via_peer(shared, upstream).await {
             Ok(connection) => Ok(connection),
-            Err(TunnelError::Refused) => Err(Error::Down(dial::Error::Refused)),
+            Err(TunnelError::Down) => Err(Error::Down(dial::Error::Failed)),
             Err(_) => connect_direct(shared, upstream)
                 .await
                 .map_err(Error::NoPath),
@@ -102,6 +134,7 @@
         },
         opened = &mut tunnelled => match opened {
             Ok(connection) => finish(shared, upstream, Err(dial::Error::TimedOut), Ok(connection)),
+            Err(TunnelError::Down) => Err(Error::Down(dial::Error::TimedOut)),
             Err(error) => finish(shared, upstream, direct.await, Err(error)),
         },
     }
@@ -123,7 +156,7 @@
             record_broken(shared, upstream, error);
             Ok(connection)
         }
-        Err(TunnelError::Refused | TunnelError::NoPeers) => Err(Error::Down(error)),
+        Err(TunnelError::Down | TunnelError::NoPeers) => Err(Error::Down(error)),
         Err(TunnelError::Unknown) => Err(Error::NoPath(error)),
     }
 }
@@ -197,8 +230,8 @@
                 let vm = peer.vm.clone();
                 return Ok((tunnel, Via { vm, liveness }));
             }
-            Err(tunnel::Error::Rejected(Rejection::UpstreamRefused)) => {
-                return Err(TunnelError::Refused);
+            Err(tunnel::Error::Rejected(Rejection::UpstreamDown)) => {
+                return Err(TunnelError::Down);
             }
             Err(_) => {}
         }
@@ -231,7 +264,7 @@
         .unwrap_or(Err(tunnel::Error::Peer(crate::peer::Error::TimedOut)));
     let (result, answer) = match &opened {
         Ok(_) => ("connected", path::Answer::Connected),
-        Err(error @ tunnel::Error::Rejected(Rejection::UpstreamRefused)) => {
+        Err(error @ tunnel::Error::Rejected(Rejection::UpstreamDown)) => {
             (error.as_str(), path::Answer::OnlyOthers)
         }
         Err(error) => (error.as_str(), path::Answer::None),
@@ -243,41 +276,68 @@
     opened
 }
 
-/// Whether `upstream` is known to be down: this VM is refused but reaches other upstreams, and so
-/// are others.
-pub async fn is_down<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> bool {
+/// Finds out why a connection to `upstream` was lost. A check of the same upstream that is under way
+/// is joined.
+pub async fn find_loss<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    upstream: &Arc<directory::Upstream>,
+) -> Loss {
+    let now = shared.clock.now();
+    let check = shared.loss_checks().join(&upstream.id, now);
+    let find = async {
+        // The sockets of a process that ends are closed one after the other.
+        tokio::time::sleep(LOSS_CHECK_DELAY).await;
+        let loss = check_loss(shared, upstream).await;
+        log::info!(upstream = upstream.id.as_str(), loss:?; "connection to the upstream lost");
+        loss
+    };
+    *check.get_or_init(|| find).await
+}
+
+async fn check_loss<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> Loss {
     let is_broken = shared.paths().is_broken(&upstream.id);
     if !is_broken {
         match connect_direct(shared, upstream).await {
+            Ok(_) => return Loss::Connection,
             Err(dial::Error::Refused) => {}
-            _ => return false,
+            Err(_) => return Loss::Path,
         }
     }
     let peers = ranked_peers(shared);
     if peers.is_empty() {
-        return true;
+        return Loss::Upstream;
     }
     if !is_broken && !reaches_others(shared, upstream).await {
-        return false;
+        return Loss::Path;
     }
     let witnesses = peers.iter().take(WITNESSES);
     let answers = witnesses.map(|peer| open_tunnel(shared, peer, upstream));
     let answers = futures_util::future::join_all(answers).await;
     if answers.iter().any(Result::is_ok) {
         record_broken(shared, upstream, dial::Error::Refused);
-        return false;
+        return Loss::Path;
+    }
+    let down = tunnel::Error::Rejected(Rejection::UpstreamDown);
+    let is_down = |answer: &Result<_, tunnel::Error>| answer.as_ref().err() == Some(&down);
+    // A VM that reaches others has lost a single path at most, which a witness would have shown.
+    if !is_broken || answers.iter().any(is_down) {
+        Loss::Upstream
+    } else {
+        Loss::Path
     }
-    let refused = tunnel::Error::Rejected(Rejection::UpstreamRefused);
-    answers
-        .iter()
-        .any(|answer| answer.as_ref().err() == Some(&refused))
 }
 
-/// Whether a connection to `upstream` can be opened now, by the way that this VM uses.
-pub async fn works<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> bool {
-    let was_broken = shared.paths().is_broken(&upstream.id);
-    let is_open = connect(shared, upstream).await.is_ok();
-    is_open && shared.paths().is_broken(&upstream.id) == was_broken
+/// Whether this VM reaches `upstream` on its own path. What it sees otherwise is no evidence about
+/// the upstream.
+pub async fn is_sound<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> bool {
+    if shared.paths().is_broken(&upstream.id) {
+        return false;
+    }
+    match connect(shared, upstream).await {
+        Ok(connection) => !connection.is_tunnelled(),
+        Err(Error::Down(_)) => true,
+        Err(Error::NoPath(_)) => false,
+    }
 }
 
 /// Whether this VM reaches another upstream than `upstream` directly. Those of other services come
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -17,6 +17,7 @@
 use crate::gateway::evidence::Evidence;
 use crate::gateway::job::Job;
 use crate::gateway::metrics::Metrics;
+use crate::gateway::path::LossChecks;
 use crate::gateway::pool::Pool;
 use crate::gateway::settings::Settings;
 use crate::peer;
@@ -67,6 +68,7 @@
     balancer: Mutex<balance::Balancer>,
     paths: Mutex<path::Register>,
     helpers: Mutex<path::Helpers>,
+    loss_checks: Mutex<LossChecks>,
     speed: Mutex<balance::Speed>,
     cold: Mutex<cold::Register>,
     throttle: Mutex<throttle::Register>,
@@ -119,6 +121,7 @@
             balancer: Mutex::new(balancer),
             paths: Mutex::default(),
             helpers: Mutex::default(),
+            loss_checks: Mutex::default(),
             speed: Mutex::default(),
             cold: Mutex::new(cold),
             throttle: Mutex::new(throttle),
@@ -161,6 +164,11 @@
         lock(&self.helpers)
     }
 
+    /// Checks for the cause of lost connections.
+    pub fn loss_checks(&self) -> MutexGuard<'_, LossChecks> {
+        lock(&self.loss_checks)
+    }
+
     /// Prompt processing rates of models.
     pub fn speed(&self) -> MutexGuard<'_, balance::Speed> {
         lock(&self.speed)
--- a/crates/cloverpost/src/gateway/tunnels.rs
+++ b/crates/cloverpost/src/gateway/tunnels.rs
@@ -5,6 +5,7 @@
 //! took the request.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cloverpost_core::directory;
 use prometheus::IntGauge;
@@ -12,7 +13,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
-use crate::gateway::dial;
+use crate::gateway::faults;
 use crate::gateway::path;
 use crate::gateway::shared::Phase;
 use crate::peer::tunnel::{self, Incoming, Rejection};
@@ -20,6 +21,9 @@
 /// Largest number of open tunnels, at about 20 kB each.
 const MAX_TUNNELS: i64 = 256;
 
+/// Timeout of a connect. The answer has to come before the asking VM turns to another.
+const DIAL_TIMEOUT: Duration = Duration::from_millis(150);
+
 /// Counts an open tunnel until it is dropped.
 struct Guard(IntGauge);
 
@@ -65,7 +69,7 @@
 async fn open<C: Codec>(
     shared: &Arc<Shared<C>>,
     tunnel: &directory::Tunnel,
-) -> Result<crate::gateway::faults::Stream, Rejection> {
+) -> Result<faults::Stream, Rejection> {
     let is_serving = *shared.phase.borrow() == Phase::Serving;
     if !is_serving || shared.metrics.paths.open.get() > MAX_TUNNELS {
         return Err(Rejection::Busy);
@@ -78,11 +82,13 @@
     if shared.paths().is_broken(&upstream.id) {
         return Err(Rejection::UpstreamUnreachable);
     }
-    match shared.pool.dial(upstream).await {
-        Ok(stream) => Ok(stream),
-        Err(dial::Error::Refused) if path::reaches_others(shared, upstream).await => {
-            Err(Rejection::UpstreamRefused)
-        }
-        Err(_) => Err(Rejection::UpstreamUnreachable),
+    let dialled = tokio::time::timeout(DIAL_TIMEOUT, shared.pool.dial(upstream)).await;
+    if let Ok(Ok(stream)) = dialled {
+        return Ok(stream);
+    }
+    if path::reaches_others(shared, upstream).await {
+        Err(Rejection::UpstreamDown)
+    } else {
+        Err(Rejection::UpstreamUnreachable)
     }
 }
--- a/crates/cloverpost/src/peer/tunnel.rs
+++ b/crates/cloverpost/src/peer/tunnel.rs
@@ -32,9 +32,9 @@
 /// Why a peer opened no tunnel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Rejection {
-    /// The upstream refused the peer's connection, while others accepted one.
-    UpstreamRefused,
-    /// The peer has no path to the upstream, or does not know.
+    /// The peer does not reach the upstream, but others.
+    UpstreamDown,
+    /// The peer has no path to any upstream, or does not know.
     UpstreamUnreachable,
     /// The peer does not know the upstream at this address.
     UnknownUpstream,
@@ -44,7 +44,7 @@
 
 impl Rejection {
     const ALL: [Self; 4] = [
-        Self::UpstreamRefused,
+        Self::UpstreamDown,
         Self::UpstreamUnreachable,
         Self::UnknownUpstream,
         Self::Busy,
@@ -52,7 +52,7 @@
 
     const fn status(self) -> StatusCode {
         match self {
-            Self::UpstreamRefused => StatusCode::BAD_GATEWAY,
+            Self::UpstreamDown => StatusCode::BAD_GATEWAY,
             Self::UpstreamUnreachable => StatusCode::GATEWAY_TIMEOUT,
             Self::UnknownUpstream => StatusCode::NOT_FOUND,
             Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
@@ -63,7 +63,7 @@
     #[must_use]
     pub const fn as_str(self) -> &'static str {
         match self {
-            Self::UpstreamRefused => "upstream_refused",
+            Self::UpstreamDown => "upstream_down",
             Self::UpstreamUnreachable => "upstream_unreachable",
             Self::UnknownUpstream => "unknown_upstream",
             Self::Busy => "busy",
--- a/crates/cloverpost/tests/behaviour/peer/tunnels.rs
+++ b/crates/cloverpost/tests/behaviour/peer/tunnels.rs
@@ -76,14 +76,14 @@
     };
     let writing = far.write_all(&chunk[..32 * 1024]);
     let both = async { tokio::join!(reading, writing) };
-    let (_, written) = tokio::time::timeout(Duration::from_secs(5), both)
+    let ((), written) = tokio::time::timeout(Duration::from_secs(5), both)
         .await
         .unwrap();
     written.unwrap();
 }
 
 #[rstest]
-#[case(Rejection::UpstreamRefused)]
+#[case(Rejection::UpstreamDown)]
 #[case(Rejection::UpstreamUnreachable)]
 #[case(Rejection::UnknownUpstream)]
 #[case(Rejection::Busy)]
