fix(cloverpost): what a VM loses with its path is no evidence against a version

What callers saw: a good version may be reverted, and sound upstreams are left out, or held for cold, on the word of a VM that lost its paths; judges are any VM. Cause: connections lost and attempts that timed out counted as failures of the version that the upstream runs, whatever the path; a connect that failed left the upstream out as one that refuses. Change: a connection that is lost with the path ends as `path_lost`, which counts for nothing but the request itself; silence and timeouts count only if this VM reaches the upstream on its own path; a connect without a path weighs as one failure and holds nobody for cold. Why it works: the check is the one that tells a crash from a cut, made when the failure is seen.

--- a/crates/cloverpost-core/src/dispatch/failure.rs
+++ b/crates/cloverpost-core/src/dispatch/failure.rs
@@ -11,6 +11,8 @@
     NotStarted,
     /// The connection was lost before the first byte of the response.
     ConnectionLost,
+    /// This VM lost its path to the upstream, which may have run the request.
+    PathLost,
     /// The attempt timed out before the first byte of the response.
     TimedOut,
     /// The upstream returned an error.
@@ -31,7 +33,11 @@
     pub const fn ran(self) -> Ran {
         match self {
             Self::NotSent | Self::NotStarted => Ran::No,
-            Self::ConnectionLost | Self::TimedOut | Self::Failed | Self::Mismatched => Ran::Unknown,
+            Self::ConnectionLost
+            | Self::PathLost
+            | Self::TimedOut
+            | Self::Failed
+            | Self::Mismatched => Ran::Unknown,
             Self::Truncated | Self::Malformed | Self::Stalled => Ran::Yes,
         }
     }
@@ -56,6 +62,7 @@
             Self::NotSent | Self::NotStarted => Code::NoUpstream,
             Self::TimedOut | Self::Stalled => Code::TimedOut,
             Self::ConnectionLost
+            | Self::PathLost
             | Self::Failed
             | Self::Mismatched
             | Self::Truncated
@@ -70,6 +77,7 @@
             Self::NotSent => "not_sent",
             Self::NotStarted => "not_started",
             Self::ConnectionLost => "lost",
+            Self::PathLost => "path_lost",
             Self::TimedOut => "timed_out",
             Self::Failed => "failed",
             Self::Mismatched => "mismatched",
--- a/crates/cloverpost-core/tests/behaviour/dispatch/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/dispatch/mod.rs
@@ -7,10 +7,11 @@
 use proptest::test_runner;
 use rstest::rstest;
 
-const ALL: [Failure; 9] = [
+const ALL: [Failure; 10] = [
     Failure::NotSent,
     Failure::NotStarted,
     Failure::ConnectionLost,
+    Failure::PathLost,
     Failure::TimedOut,
     Failure::Failed,
     Failure::Mismatched,
@@ -31,6 +32,7 @@
 // Guards against running a request that is not idempotent twice.
 #[rstest]
 #[case::connection_lost(Failure::ConnectionLost, Ran::Unknown)]
+#[case::path_lost(Failure::PathLost, Ran::Unknown)]
 #[case::timed_out(Failure::TimedOut, Ran::Unknown)]
 #[case::failed(Failure::Failed, Ran::Unknown)]
 #[case::mismatched(Failure::Mismatched, Ran::Unknown)]
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use crate::gateway::codec::{Attempt, Classification, Codec};
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
-use crate::gateway::path;
+use crate::gateway::path::{self, Loss};
 use crate::gateway::pool::Connection;
 use crate::gateway::rate_limits;
 use crate::gateway::response;
@@ -124,11 +124,7 @@
             slot.end();
             return Err(Failure::NotSent);
         }
-        Err(_) => {
-            slot.record(Event::Broke);
-            crashes::record_lost(shared, job, &slot.upstream).await;
-            return Err(Failure::ConnectionLost);
-        }
+        Err(_) => return Err(record_lost(shared, job, &slot, Failure::ConnectionLost).await),
     };
     let (head, body) = response.into_parts();
     connection.record_keep_alive(&head);
@@ -171,6 +167,24 @@
     })
 }
 
+/// Records that the connection to the slot's upstream was lost. Returns `failure`, unless it was lost
+/// with this VM's path.
+pub async fn record_lost<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    slot: &UpstreamSlot<C>,
+    failure: Failure,
+) -> Failure {
+    slot.end();
+    match crashes::record_lost(shared, job, &slot.upstream).await {
+        Loss::Connection | Loss::Upstream => {
+            slot.record(Event::Broke);
+            failure
+        }
+        Loss::Path => Failure::PathLost,
+    }
+}
+
 async fn connect<C: Codec>(
     shared: &Arc<Shared<C>>,
     slot: &UpstreamSlot<C>,
@@ -184,7 +198,7 @@
         );
         match error {
             path::Error::Down(_) => slot.record(Event::Refused),
-            path::Error::NoPath(_) => slot.end(),
+            path::Error::NoPath(_) => slot.record(Event::Broke),
         }
         Failure::NotSent
     })
@@ -194,7 +208,7 @@
 /// head is overdue and the job may be sent again. Otherwise keeps waiting, since the response may
 /// still arrive.
 async fn wait_for_head_timeout<C: Codec>(
-    shared: &Shared<C>,
+    shared: &Arc<Shared<C>>,
     job: &Job,
     slot: &UpstreamSlot<C>,
     sent: time::Moment,
@@ -214,25 +228,25 @@
         (half, half)
     };
     let mut is_recorded = false;
+    let mut failure = Failure::TimedOut;
     loop {
         let now = shared.clock.now();
         let left = job.deadline.since(now);
         if left.is_zero() {
-            return Failure::TimedOut;
+            return failure;
         }
         let silence = shared.balancer().silence(&slot.upstream.id, sent, now);
         let waited = now.since(sent);
         let is_silent = silence >= silence_limit;
         if is_silent || waited >= limit {
-            if !std::mem::replace(&mut is_recorded, true) {
-                slot.record(if is_silent {
-                    Event::Silent
-                } else {
-                    Event::Failed
-                });
+            let is_first = !std::mem::replace(&mut is_recorded, true);
+            if is_first && is_silent {
+                failure = record_silent(shared, slot, failure).await;
+            } else if is_first {
+                slot.record(Event::Failed);
             }
             if selection::may_send_again(shared, job) {
-                return Failure::TimedOut;
+                return failure;
             }
         }
         let rest = silence_limit.saturating_sub(silence);
@@ -243,6 +257,20 @@
     }
 }
 
+/// Records that the slot's upstream is silent. Returns `failure`, unless this VM lost its path.
+pub async fn record_silent<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    slot: &UpstreamSlot<C>,
+    failure: Failure,
+) -> Failure {
+    if path::is_sound(shared, &slot.upstream).await {
+        slot.record(Event::Silent);
+        failure
+    } else {
+        Failure::PathLost
+    }
+}
+
 fn build_request<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
@@ -269,9 +297,9 @@
 
 /// Records the result of an attempt in metrics, the log and rollout evidence.
 fn record_result<C: Codec>(
-    shared: &Shared<C>,
+    shared: &Arc<Shared<C>>,
     job: &Job,
-    upstream: &directory::Upstream,
+    upstream: &Arc<directory::Upstream>,
     options: AttemptOptions<'_>,
     sent: time::Moment,
     result: &Result<UpstreamResponse<C>, Failure>,
@@ -285,11 +313,12 @@
     let head = match result {
         Ok(response) if response.is_failure => HeadOutcome::Failed,
         Ok(_) => HeadOutcome::Received,
-        Err(Failure::ConnectionLost | Failure::Mismatched | Failure::TimedOut) => {
-            HeadOutcome::Failed
-        }
+        Err(Failure::ConnectionLost | Failure::Mismatched) => HeadOutcome::Failed,
         Err(_) => HeadOutcome::NotRun,
     };
+    if matches!(result, Err(Failure::TimedOut)) {
+        rollout_evidence::record_timeout(shared, job, upstream);
+    }
     rollout_evidence::record_head(shared, job, upstream, options.model, took, head);
     shared
         .metrics
--- a/crates/cloverpost/src/gateway/rollout_evidence.rs
+++ b/crates/cloverpost/src/gateway/rollout_evidence.rs
@@ -1,5 +1,6 @@
 //! Records responses as evidence for or against a version that is being rolled out.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cloverpost_core::{directory, exposure, id};
@@ -8,6 +9,7 @@
 use crate::gateway::codec::Codec;
 use crate::gateway::evidence::TimingKey;
 use crate::gateway::job::Job;
+use crate::gateway::path;
 use crate::gateway::selection;
 
 /// Outcome of waiting for the response head of one attempt.
@@ -39,6 +41,23 @@
     count(shared, job, upstream, span, is_good);
 }
 
+/// Records an attempt that timed out, unless this VM has lost its path to `upstream`.
+pub fn record_timeout<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    upstream: &Arc<directory::Upstream>,
+) {
+    let Some(key) = selection::evidence_key(shared, job, upstream, exposure::Span::Head) else {
+        return;
+    };
+    let (shared, upstream) = (shared.clone(), upstream.clone());
+    tokio::spawn(async move {
+        if path::is_sound(&shared, &upstream).await {
+            shared.evidence().count(&key, false);
+        }
+    });
+}
+
 /// Records a stream with a mean interval of `pace` between events.
 pub fn record_pace<C: Codec>(
     shared: &Shared<C>,
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -168,10 +168,18 @@
                 None if self.splitter.has_partial_event() => return Err(Failure::Truncated),
                 None => return Ok(None),
                 Some(Err(_)) => {
-                    running.slot.record(Event::Broke);
-                    crashes::record_lost(&self.shared, &self.job, &running.slot.upstream).await;
-                    rollout_evidence::record_cut(&self.shared, &self.job, &running.slot.upstream);
-                    return Err(Failure::Truncated);
+                    let lost = attempt::record_lost(
+                        &self.shared,
+                        &self.job,
+                        &running.slot,
+                        Failure::Truncated,
+                    );
+                    let failure = lost.await;
+                    if failure == Failure::Truncated {
+                        let upstream = &running.slot.upstream;
+                        rollout_evidence::record_cut(&self.shared, &self.job, upstream);
+                    }
+                    return Err(failure);
                 }
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
@@ -289,26 +297,27 @@
 /// A host that lost power sends no reset, so silence is the only sign. While the upstream
 /// sends data on other requests, or no retry is left, the stream keeps waiting.
 async fn wait_for_stall<C: Codec>(
-    shared: &Shared<C>,
+    shared: &Arc<Shared<C>>,
     job: &Job,
     slot: &UpstreamSlot<C>,
     since: time::Moment,
     may_resume: bool,
 ) -> Failure {
     let mut is_recorded = false;
+    let mut failure = Failure::Stalled;
     loop {
         let now = shared.clock.now();
         let left = job.deadline.since(now);
         if left.is_zero() {
-            return Failure::Stalled;
+            return failure;
         }
         let silence = shared.balancer().silence(&slot.upstream.id, since, now);
         if may_resume && silence >= attempt::SILENCE_TIMEOUT {
             if !std::mem::replace(&mut is_recorded, true) {
-                slot.record(Event::Silent);
+                failure = attempt::record_silent(shared, slot, failure).await;
             }
             if selection::may_send_again(shared, job) {
-                return Failure::Stalled;
+                return failure;
             }
         }
         let rest = attempt::SILENCE_TIMEOUT.saturating_sub(silence);
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -147,9 +147,7 @@
     let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
     slot.end();
     let Ok(body) = body else {
-        slot.record(Event::Failed);
-        crashes::record_lost(shared, job, &slot.upstream).await;
-        return Err(Failure::Truncated);
+        return Err(attempt::record_lost(shared, job, &slot, Failure::Truncated).await);
     };
     shared.pool.put_back(connection);
     slot.record(if is_failure {
