refactor(cloverpost): a lost connection's line says through which VM it led; other tables are no failure to help

Change: `connection to the upstream lost` has the request's id and `via`. A VM whose tables lack the upstream is not ranked as one that did not help: a leaving upstream, known there first, would have put all of them last for 2 s.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -124,7 +124,10 @@
             slot.end();
             return Err(Failure::NotSent);
         }
-        Err(_) => return Err(record_lost(shared, job, &slot, Failure::ConnectionLost).await),
+        Err(_) => {
+            let lost = Failure::ConnectionLost;
+            return Err(record_lost(shared, job, &slot, &connection, lost).await);
+        }
     };
     let (head, body) = response.into_parts();
     connection.record_keep_alive(&head);
@@ -173,10 +176,17 @@
     shared: &Arc<Shared<C>>,
     job: &Job,
     slot: &UpstreamSlot<C>,
+    connection: &Connection,
     failure: Failure,
 ) -> Failure {
     slot.end();
-    match crashes::record_lost(shared, job, &slot.upstream).await {
+    let loss = crashes::record_lost(shared, job, &slot.upstream).await;
+    log::info!(
+        id = job.head.id.as_str(), upstream = slot.upstream.id.as_str(),
+        via = connection.via().map_or("", id::Vm::as_str), loss:?;
+        "connection to the upstream lost"
+    );
+    match loss {
         Loss::Connection | Loss::Upstream => {
             slot.record(Event::Broke);
             failure
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -116,7 +116,7 @@
         Err(_elapsed) => return connect_both_ways(shared, upstream, direct).await,
     };
     let tunnelled = connect_via_peer(shared, upstream).await;
-    finish(shared, upstream, Err(error), tunnelled)
+    after_direct_failure(shared, upstream, error, tunnelled)
 }
 
 /// Waits for `direct` and a tunnel, whichever is open first.
@@ -130,27 +130,27 @@
     tokio::select! {
         opened = &mut direct => match opened {
             Ok(connection) => Ok(connection),
-            Err(error) => finish(shared, upstream, Err(error), tunnelled.await),
+            Err(error) => after_direct_failure(shared, upstream, error, tunnelled.await),
         },
         opened = &mut tunnelled => match opened {
-            Ok(connection) => finish(shared, upstream, Err(dial::Error::TimedOut), Ok(connection)),
-            Err(TunnelError::Down) => Err(Error::Down(dial::Error::TimedOut)),
-            Err(error) => finish(shared, upstream, direct.await, Err(error)),
+            Ok(_) | Err(TunnelError::Down) => {
+                after_direct_failure(shared, upstream, dial::Error::TimedOut, opened)
+            }
+            Err(_) => match direct.await {
+                Ok(connection) => Ok(connection),
+                Err(error) => after_direct_failure(shared, upstream, error, opened),
+            },
         },
     }
 }
 
-/// Combines the results of both ways.
-fn finish<C: Codec>(
+/// The result of a tunnel after the direct connect failed with `error`.
+fn after_direct_failure<C: Codec>(
     shared: &Shared<C>,
     upstream: &directory::Upstream,
-    direct: Result<Connection, dial::Error>,
+    error: dial::Error,
     tunnelled: Result<Connection, TunnelError>,
 ) -> Result<Connection, Error> {
-    let error = match direct {
-        Ok(connection) => return Ok(connection),
-        Err(error) => error,
-    };
     match tunnelled {
         Ok(connection) => {
             record_broken(shared, upstream, error);
@@ -262,20 +262,29 @@
     let opened = tokio::time::timeout(TUNNEL_TIMEOUT, opening)
         .await
         .unwrap_or(Err(tunnel::Error::Peer(crate::peer::Error::TimedOut)));
-    let (result, answer) = match &opened {
-        Ok(_) => ("connected", path::Answer::Connected),
-        Err(error @ tunnel::Error::Rejected(Rejection::UpstreamDown)) => {
-            (error.as_str(), path::Answer::OnlyOthers)
-        }
-        Err(error) => (error.as_str(), path::Answer::None),
-    };
+    let result = opened
+        .as_ref()
+        .map_or_else(tunnel::Error::as_str, |_| "connected");
     let asked = &shared.metrics.paths.asked;
     asked.with_label_values(&[result]).inc();
-    let now = shared.clock.now();
-    shared.helpers().record(&peer.vm, answer, now);
+    if let Some(answer) = answer(&opened) {
+        let now = shared.clock.now();
+        shared.helpers().record(&peer.vm, answer, now);
+    }
     opened
 }
 
+/// What the result of a request for a tunnel says of the VM that was asked; `None` if its tables
+/// differ.
+fn answer<T>(opened: &Result<T, tunnel::Error>) -> Option<path::Answer> {
+    match opened {
+        Ok(_) => Some(path::Answer::Connected),
+        Err(tunnel::Error::Rejected(Rejection::UnknownUpstream)) => None,
+        Err(tunnel::Error::Rejected(Rejection::UpstreamDown)) => Some(path::Answer::OnlyOthers),
+        Err(_) => Some(path::Answer::None),
+    }
+}
+
 /// Finds out why a connection to `upstream` was lost. A check of the same upstream that is under way
 /// is joined.
 pub async fn find_loss<C: Codec>(
@@ -287,9 +296,7 @@
     let find = async {
         // The sockets of a process that ends are closed one after the other.
         tokio::time::sleep(LOSS_CHECK_DELAY).await;
-        let loss = check_loss(shared, upstream).await;
-        log::info!(upstream = upstream.id.as_str(), loss:?; "connection to the upstream lost");
-        loss
+        check_loss(shared, upstream).await
     };
     *check.get_or_init(|| find).await
 }
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -71,6 +71,12 @@
 }
 
 impl Connection {
+    /// The VM that the connection leads through, if it is not direct.
+    #[must_use]
+    pub fn via(&self) -> Option<&id::Vm> {
+        self.via.as_ref().map(|via| &via.vm)
+    }
+
     /// Whether the connection leads through another VM.
     #[must_use]
     pub const fn is_tunnelled(&self) -> bool {
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -172,6 +172,7 @@
                         &self.shared,
                         &self.job,
                         &running.slot,
+                        &running.connection,
                         Failure::Truncated,
                     );
                     let failure = lost.await;
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -147,7 +147,9 @@
     let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
     slot.end();
     let Ok(body) = body else {
-        return Err(attempt::record_lost(shared, job, &slot, Failure::Truncated).await);
+        return Err(
+            attempt::record_lost(shared, job, &slot, &connection, Failure::Truncated).await,
+        );
     };
     shared.pool.put_back(connection);
     slot.record(if is_failure {
