fix(cloverpost): answers that a broken path made slow are no evidence against a version

Cause: requests that may not be sent again wait while a path hangs; their answers come as it works again and count as slow, and what times out or is lost then finds a path that works. Change: the register remembers when a path worked again. Slow answers, timeouts, cut streams and lost connections count only if the path was not known to be broken since the attempt began; what an upstream itself answers counts on any path.

--- a/crates/cloverpost-core/src/path/register.rs
+++ b/crates/cloverpost-core/src/path/register.rs
@@ -1,6 +1,6 @@
 //! Upstreams that this VM reaches through other VMs only.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use crate::directory;
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Register {
     broken: HashMap<id::Upstream, Broken>,
+    /// When paths that were broken worked again.
+    recovered: HashMap<id::Upstream, time::Moment>,
     /// When the next direct path may be tried.
     next_probe: time::Moment,
 }
@@ -50,6 +52,7 @@
         now: time::Moment,
     ) -> Option<Duration> {
         let broken = self.broken.remove(upstream)?;
+        self.recovered.insert(upstream.clone(), now);
         for other in self.broken.values_mut() {
             other.next_probe = now;
         }
@@ -63,6 +66,13 @@
         self.broken.contains_key(upstream)
     }
 
+    /// Whether the direct path to `upstream` was known to be broken at any time since `since`.
+    #[must_use]
+    pub fn was_broken(&self, upstream: &id::Upstream, since: time::Moment) -> bool {
+        let recovered = self.recovered.get(upstream);
+        self.is_broken(upstream) || recovered.is_some_and(|recovered| *recovered >= since)
+    }
+
     /// Number of direct paths that are broken.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -85,9 +95,11 @@
 
     /// Forgets upstreams that are not in `view`.
     pub fn retain(&mut self, view: &directory::View) {
-        if !self.broken.is_empty() {
-            self.broken
-                .retain(|id, _| view.upstreams().any(|one| one.id == *id));
+        if self.broken.is_empty() && self.recovered.is_empty() {
+            return;
         }
+        let known: HashSet<_> = view.upstreams().map(|one| &one.id).collect();
+        self.broken.retain(|id, _| known.contains(id));
+        self.recovered.retain(|id, _| known.contains(id));
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/path/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/path/mod.rs
@@ -45,6 +45,17 @@
     }
 }
 
+#[test]
+fn a_path_that_works_again_is_known_to_have_been_broken() {
+    let mut register = Register::default();
+    assert!(!register.was_broken(&upstream(1), at(0)));
+    register.record_broken(&upstream(1), at(100));
+    assert!(register.was_broken(&upstream(1), at(200)));
+    register.record_direct(&upstream(1), at(300));
+    assert!(register.was_broken(&upstream(1), at(300)));
+    assert!(!register.was_broken(&upstream(1), at(301)));
+}
+
 proptest! {
     // Guards against probes whose number grows with the number of broken paths.
     #[test]
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -323,13 +323,14 @@
     let head = match result {
         Ok(response) if response.is_failure => HeadOutcome::Failed,
         Ok(_) => HeadOutcome::Received,
-        Err(Failure::ConnectionLost | Failure::Mismatched) => HeadOutcome::Failed,
+        Err(Failure::ConnectionLost) => HeadOutcome::Lost,
+        Err(Failure::Mismatched) => HeadOutcome::Failed,
         Err(_) => HeadOutcome::NotRun,
     };
     if matches!(result, Err(Failure::TimedOut)) {
-        rollout_evidence::record_timeout(shared, job, upstream);
+        rollout_evidence::record_timeout(shared, job, upstream, sent);
     }
-    rollout_evidence::record_head(shared, job, upstream, options.model, took, head);
+    rollout_evidence::record_head(shared, job, upstream, options.model, sent, took, head);
     shared
         .metrics
         .attempts
--- a/crates/cloverpost/src/gateway/rollout_evidence.rs
+++ b/crates/cloverpost/src/gateway/rollout_evidence.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::{directory, exposure, id};
+use cloverpost_core::{directory, exposure, id, time};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -17,63 +17,86 @@
 pub enum HeadOutcome {
     /// A response head was received.
     Received,
-    /// The upstream failed or did not respond.
+    /// The upstream responded with a failure.
     Failed,
+    /// The connection was lost before the response head.
+    Lost,
     /// The request did not run, which is no evidence about the version.
     NotRun,
 }
 
-/// Records the outcome of an attempt, `took` after it was sent.
+/// Records the outcome of an attempt that began at `sent` and took `took`.
+///
+/// A slow response or a lost connection is no evidence if the path was broken meanwhile.
 pub fn record_head<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     model: Option<&id::Model>,
+    sent: time::Moment,
     took: Duration,
     head: HeadOutcome,
 ) {
     let span = exposure::Span::Head;
-    let is_good = match head {
-        HeadOutcome::Received => !is_slow(shared, job, upstream, model, span, took),
-        HeadOutcome::Failed => false,
+    let (is_good, is_own_word) = match head {
+        HeadOutcome::Received => {
+            let is_slow = is_slow(shared, job, upstream, model, span, took);
+            (!is_slow, !is_slow)
+        }
+        HeadOutcome::Failed => (false, true),
+        HeadOutcome::Lost => (false, false),
         HeadOutcome::NotRun => return,
     };
-    count(shared, job, upstream, span, is_good);
+    if is_own_word || !shared.paths().was_broken(&upstream.id, sent) {
+        count(shared, job, upstream, span, is_good);
+    }
 }
 
-/// Records an attempt that timed out, unless this VM has lost its path to `upstream`.
+/// Records an attempt that began at `sent` and timed out, unless this VM has lost its path to `upstream`.
 pub fn record_timeout<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
     upstream: &Arc<directory::Upstream>,
+    sent: time::Moment,
 ) {
     let Some(key) = selection::evidence_key(shared, job, upstream, exposure::Span::Head) else {
         return;
     };
     let (shared, upstream) = (shared.clone(), upstream.clone());
     tokio::spawn(async move {
-        if path::is_sound(&shared, &upstream).await {
+        let is_sound = path::is_sound(&shared, &upstream).await;
+        if is_sound && !shared.paths().was_broken(&upstream.id, sent) {
             shared.evidence().count(&key, false);
         }
     });
 }
 
-/// Records a stream with a mean interval of `pace` between events.
+/// Records a stream that began at `began`, with a mean interval of `pace` between events.
 pub fn record_pace<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     model: Option<&id::Model>,
+    began: time::Moment,
     pace: Duration,
 ) {
     let span = exposure::Span::Events;
     let is_slow = is_slow(shared, job, upstream, model, span, pace);
-    count(shared, job, upstream, span, !is_slow);
+    if !is_slow || !shared.paths().was_broken(&upstream.id, began) {
+        count(shared, job, upstream, span, !is_slow);
+    }
 }
 
-/// Records a stream that was cut off.
-pub fn record_cut<C: Codec>(shared: &Shared<C>, job: &Job, upstream: &directory::Upstream) {
-    count(shared, job, upstream, exposure::Span::Events, false);
+/// Records a stream that began at `began` and was cut off.
+pub fn record_cut<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    began: time::Moment,
+) {
+    if !shared.paths().was_broken(&upstream.id, began) {
+        count(shared, job, upstream, exposure::Span::Events, false);
+    }
 }
 
 fn is_slow<C: Codec>(
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -178,7 +178,12 @@
                     let failure = lost.await;
                     if failure == Failure::Truncated {
                         let upstream = &running.slot.upstream;
-                        rollout_evidence::record_cut(&self.shared, &self.job, upstream);
+                        rollout_evidence::record_cut(
+                            &self.shared,
+                            &self.job,
+                            upstream,
+                            running.head_received,
+                        );
                     }
                     return Err(failure);
                 }
@@ -258,9 +263,11 @@
             return;
         }
         running.is_pace_recorded = true;
-        let pace = self.shared.clock.now().since(running.head_received) / events;
+        let began = running.head_received;
+        let pace = self.shared.clock.now().since(began) / events;
         let upstream = &running.slot.upstream;
-        rollout_evidence::record_pace(&self.shared, &self.job, upstream, self.model.as_ref(), pace);
+        let model = self.model.as_ref();
+        rollout_evidence::record_pace(&self.shared, &self.job, upstream, model, began, pace);
     }
 
     fn finish(&mut self) {
