fix(cloverpost): a refusal counts as a crash only while this VM reaches others, also without peers

Also, a path that worked again between the refusal and the control connects made every upstream look crashed. Change: with and without peers, this VM has to reach another upstream and be refused once more right after it.

--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -310,13 +310,10 @@
             Err(_) => return Loss::Path,
         }
     }
-    let peers = ranked_peers(shared);
-    if peers.is_empty() {
-        return Loss::Upstream;
-    }
-    if !is_broken && !reaches_others(shared, upstream).await {
+    if !is_broken && !is_refused_alone(shared, upstream).await {
         return Loss::Path;
     }
+    let peers = ranked_peers(shared);
     let witnesses = peers.iter().take(WITNESSES);
     let answers = witnesses.map(|peer| open_tunnel(shared, peer, upstream));
     let answers = futures_util::future::join_all(answers).await;
@@ -334,6 +331,14 @@
     }
 }
 
+/// Whether `upstream` refuses this VM right after another one accepted it. A path that works again
+/// after the first refusal would otherwise look like the crash of this upstream.
+async fn is_refused_alone<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> bool {
+    let refused = Err(dial::Error::Refused);
+    reaches_others(shared, upstream).await
+        && connect_direct(shared, upstream).await.map(drop) == refused
+}
+
 /// Whether this VM reaches `upstream` on its own path. What it sees otherwise is no evidence about
 /// the upstream.
 pub async fn is_sound<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> bool {
