fix(cloverpost): the control thread of a gateway VM ends with the VM

Cause: a test's VM runs in the test process, and nothing ended it: the harness kept its traffic thread until the process ended, and the control thread had no end at all, also after `Vm::run` had returned. Each of some 180 tests left VMs behind that call the store of their test for ever. Its port is free then, and the next listener may get it: calls of the store's protocol are requests to a simulated upstream.

Ruled out: more attempts of one request (five at most by `dispatch`), health checks (there are none), load alone (48 runs of `zones` and eight of the whole suite beside them, five processor cores, did not show it).

--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -1,5 +1,6 @@
 //! An entry VM: its two threads, startup and graceful shutdown.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
@@ -62,6 +63,8 @@
     own: Member,
     caller_listener: TcpListener,
     operator_addr: SocketAddr,
+    /// Ends the control thread when dropped.
+    control: oneshot::Sender<Infallible>,
 }
 
 impl<C: Codec, S: Store> Vm<C, S> {
@@ -85,7 +88,7 @@
         if let Some(file) = file {
             tokio::spawn(reload::run(file, shared.clone()));
         }
-        let own = start_control(&shared, &store, keys).await?;
+        let (own, control) = start_control(&shared, &store, keys).await?;
         let tunnels = shared.links.get().and_then(peer::Links::take_tunnels);
         if let Some(tunnels) = tunnels {
             tokio::spawn(tunnels::run(shared.clone(), tunnels));
@@ -97,6 +100,7 @@
             own,
             caller_listener,
             operator_addr,
+            control,
         })
     }
 
@@ -117,8 +121,10 @@
         self.shared.pool.faults().clone()
     }
 
-    /// Serves until `stop` resolves, then shuts down gracefully.
+    /// Serves until `stop` resolves, then shuts down gracefully. The control thread ends with the
+    /// returned future, also if it is dropped.
     pub async fn run(self, stop: impl Future<Output = ()>) {
+        let _control = self.control;
         let server = tokio::spawn(server::run(self.caller_listener, self.shared.clone()));
         stop.await;
         let grace = self.shared.settings.load().stop_grace;
@@ -162,12 +168,13 @@
     bound.map_err(|error| Error::Bind(setting, address, error))
 }
 
-/// Starts the control thread with the peer links; returns this VM's member row.
+/// Starts the control thread with the peer links; returns this VM's member row. The thread ends
+/// when the returned sender is dropped.
 async fn start_control<C: Codec, S: Store>(
     shared: &Arc<Shared<C>>,
     store: &S,
     keys: peer::Keys,
-) -> Result<Member, Error> {
+) -> Result<(Member, oneshot::Sender<Infallible>), Error> {
     let settings = shared.settings.load_full();
     let mut options = peer::Options::new(settings.vm.clone(), settings.zone.clone(), keys);
     options.advertised = settings.peer_advertised_addr;
@@ -177,6 +184,7 @@
         .build()
         .map_err(Error::System)?;
     let (started_tx, started_rx) = oneshot::channel();
+    let (control_tx, control_rx) = oneshot::channel();
     let (shared, store) = (shared.clone(), store.clone());
     let control = async move {
         let (links, inbox) = match peer::Links::bind(address, options).await {
@@ -204,9 +212,11 @@
             Ok((controller, task)) => {
                 let _ = started_tx.send(Ok(own));
                 tokio::spawn(forward_peer_messages(inbox, controller));
-                // Ends with the process or a panic of the actor.
-                let _ = task.await;
-                log::error!("the control thread has ended");
+                tokio::select! {
+                    _ = control_rx => {}
+                    // Ends by itself only after a panic of the actor.
+                    _ = task => log::error!("the control thread has ended"),
+                }
             }
             Err(error) => {
                 let _ = started_tx.send(Err(Error::Control(error.to_string())));
@@ -218,7 +228,8 @@
         .spawn(move || runtime.block_on(control))
         .map_err(Error::System)?;
     let exited = |_| Error::Control("the thread ended during startup".to_owned());
-    started_rx.await.map_err(exited)?
+    let own = started_rx.await.map_err(exited)??;
+    Ok((own, control_tx))
 }
 
 async fn forward_peer_messages(mut inbox: peer::Inbox, controller: ractor::ActorRef<Command>) {
