feat(cloverpost): requests at fragile upstreams are bounded by places that all VMs share

Cause: nothing read the statement. Each VM sends what its callers ask for, retries what was rejected at the next upstream, and sees its own rejections only. The class is that of the rate limits: a bound over the fleet that the view of one VM cannot keep.

Change: the requests in flight of all VMs on an upstream are bounded by its slots and half of the stated number, divided by a hash of upstream and VM, without a message (core `fragile/`). A rejected request keeps its place for 1.2 s, so the rejections of a second have places of their own: no more than the excess over the slots. The places in use shrink to what the upstream accepted, and grow with its responses, since its room may be smaller than its slots. A VM without a place sends one request now and then, to learn of the end. What has no place is rejected at once; callers are told to return as this VM's places become free.

Core: a simulated fleet of 1 to 295 VMs stays within the stated number with 4, 5 and 20 a second, and uses over 0.8 of the slots.

Not solved: where there are more VMs than places, VMs without one reject requests also while the upstreams have room.

--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -104,6 +104,12 @@
         self.load(upstream).is_available(now)
     }
 
+    /// Number of this VM's requests in flight on `upstream`.
+    #[must_use]
+    pub fn in_flight(&self, upstream: &id::Upstream) -> usize {
+        usize::try_from(self.load(upstream).in_flight).unwrap_or(usize::MAX)
+    }
+
     /// Used and total slots of `upstreams`, counting only this VM's requests as used.
     #[must_use]
     pub fn occupancy<'a>(
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod escalation;
 pub mod evidence;
 pub mod exposure;
+pub mod fragile;
 pub mod id;
 pub mod lease;
 pub mod limit;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -13,6 +13,7 @@
 mod escalation;
 mod evidence;
 mod exposure;
+mod fragile;
 mod id;
 mod lease;
 mod limit;
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use crate::gateway::path::{self, Loss};
 use crate::gateway::pool::Connection;
 use crate::gateway::rate_limits;
+use crate::gateway::rejection_limits;
 use crate::gateway::response;
 use crate::gateway::rollout_evidence::{self, HeadOutcome};
 use crate::gateway::selection;
@@ -135,6 +136,7 @@
     let (is_failure, confidence) = match classification {
         Classification::AtCapacity => {
             rate_limits::record_response(shared, job, &slot.upstream, sent, &head, true);
+            rejection_limits::record_response(shared, job, &slot.upstream, sent, &head, true);
             slot.record(Event::Full);
             return Err(Failure::NotStarted);
         }
@@ -151,6 +153,7 @@
         Classification::Succeeded { confidence } => (false, confidence),
     };
     rate_limits::record_response(shared, job, &slot.upstream, sent, &head, false);
+    rejection_limits::record_response(shared, job, &slot.upstream, sent, &head, false);
     let took = shared.clock.now().since(sent);
     slot.release_work();
     slot.record(Event::Began(took));
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -23,6 +23,9 @@
     /// The rate limit that the upstream states in a response head.
     fn stated_limit(&self, head: &http::response::Parts) -> StatedLimit;
 
+    /// The rejections a second that the upstream survives, as a response head states it.
+    fn stated_rejection_limit(&self, head: &http::response::Parts) -> StatedLimit;
+
     /// Whether `path` is the readiness probe of this VM.
     fn is_readiness_probe(&self, path: &str) -> bool;
 }
@@ -131,12 +134,12 @@
     pub last_event: Option<&'a str>,
 }
 
-/// The rate limit of an upstream according to one response.
+/// A limit that an upstream states in one response.
 #[derive(Clone, Debug, PartialEq)]
 pub enum StatedLimit {
     /// The response states no limit.
     Absent,
-    /// Requests per second that the upstream takes from all VMs together.
+    /// Requests per second from all VMs together.
     Rate(throttle::Rate),
     /// The limit is not a rate, so the response says nothing about it.
     Malformed(String),
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -68,6 +68,7 @@
             self.context.shared.paths().retain(&view);
             self.context.shared.quarantine.prune(now);
             self.context.shared.throttle().retain(&view, now);
+            self.context.shared.fragile().retain(&view);
         }
         self.context
             .shared
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -219,7 +219,7 @@
     }
 
     /// Recomputes what follows from the member list if it has changed: which VMs send to cold
-    /// upstreams and to those that state rate limits, and which may be asked for tunnels.
+    /// upstreams and to those that state limits, and which may be asked for tunnels.
     fn update_senders(&mut self) {
         let members = &self.image.members;
         if self.senders_version == members.changed {
@@ -231,6 +231,7 @@
         let senders = quota::Senders::new(own, members);
         let shared = &self.context.shared;
         shared.cold().set_senders(senders.clone());
+        shared.fragile().set_senders(senders.clone());
         shared.throttle().set_senders(senders, self.now());
         let peers = self.image.members.rows.values().map(|row| &row.value);
         let peers = peers.filter(|member| member.vm != self.context.own.vm);
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod fragile;
 mod paths;
 mod peers;
 mod rate_limits;
@@ -16,6 +17,7 @@
 
 use crate::peer;
 
+pub use fragile::Fragile;
 pub use paths::Paths;
 pub use peers::Peers;
 pub use rate_limits::RateLimits;
@@ -63,6 +65,8 @@
     pub resumed: IntCounterVec,
     /// Rate limits that upstreams state.
     pub rate_limits: RateLimits,
+    /// Services whose upstreams fail when they reject too many requests.
+    pub fragile: Fragile,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
     /// Paths to upstreams.
@@ -162,19 +166,14 @@
                 &["route"],
             ),
             rate_limits: RateLimits::register(&registry),
+            fragile: Fragile::register(&registry),
             connections: counter(
                 "upstream_connections_total",
                 "connections opened to upstreams",
             ),
             paths: Paths::register(&registry),
             in_flight: gauge("in_flight", "requests in flight"),
-            first_byte: register(
-                &registry,
-                HistogramVec::new(
-                    buckets("first_byte_seconds", "seconds to the start of the answer"),
-                    &["route"],
-                ),
-            ),
+            first_byte: register_first_byte(&registry),
             store_calls: counters(
                 "store_calls_total",
                 "calls to the store",
@@ -230,6 +229,11 @@
     }
 }
 
+fn register_first_byte(registry: &Registry) -> HistogramVec {
+    let options = buckets("first_byte_seconds", "seconds to the start of the answer");
+    register(registry, HistogramVec::new(options, &["route"]))
+}
+
 fn buckets(name: &str, help: &str) -> HistogramOpts {
     HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS.to_vec())
 }
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 pub mod path;
 pub mod pool;
 mod rate_limits;
+mod rejection_limits;
 mod reload;
 mod response;
 mod rollout_evidence;
--- /dev/null
+++ b/crates/cloverpost/src/gateway/rejection_limits.rs
@@ -0,0 +1,83 @@
+//! Upstreams that state how many rejections a second they survive.
+
+use cloverpost_core::fragile::Change;
+use cloverpost_core::{directory, time};
+
+use crate::gateway::Shared;
+use crate::gateway::codec::{Codec, StatedLimit};
+use crate::gateway::job::Job;
+
+/// Records what `upstream` states in the head of a response to a request sent at `sent`. A rejection
+/// without a statement does not show its end.
+pub fn record_response<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    sent: time::Moment,
+    head: &http::response::Parts,
+    is_rejection: bool,
+) {
+    let now = shared.clock.now();
+    if let Some(change) = record_statement(shared, job, upstream, sent, head, is_rejection) {
+        log_change(job, upstream, change);
+    }
+    if !is_rejection {
+        shared.fragile().record_response(upstream);
+        return;
+    }
+    // The rejected request still has its slot.
+    let accepted = shared.balancer().in_flight(&upstream.id).saturating_sub(1);
+    let mut fragile = shared.fragile();
+    fragile.record_rejection(upstream, accepted, now);
+    let limit = fragile.limit(&upstream.service);
+    drop(fragile);
+    if let Some(limit) = limit {
+        let service = job.service.as_str();
+        let rejections = &shared.metrics.fragile.rejections;
+        rejections.with_label_values(&[service]).inc();
+        log::info!(
+            id = job.head.id.as_str(), upstream = upstream.id.as_str(), limit:% = limit, accepted;
+            "a fragile upstream rejected the request"
+        );
+    }
+}
+
+fn record_statement<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &directory::Upstream,
+    sent: time::Moment,
+    head: &http::response::Parts,
+    is_rejection: bool,
+) -> Option<Change> {
+    let stated = match shared.codec.stated_rejection_limit(head) {
+        StatedLimit::Absent if is_rejection => return None,
+        StatedLimit::Absent => None,
+        StatedLimit::Rate(rate) => Some(rate),
+        StatedLimit::Malformed(value) => {
+            log::warn!(
+                id = job.head.id.as_str(), upstream = upstream.id.as_str(), value;
+                "the upstream's rejection limit cannot be read, what was known of it stays"
+            );
+            return None;
+        }
+    };
+    let now = shared.clock.now();
+    let mut fragile = shared.fragile();
+    let change = fragile.record_statement(&job.service, stated, sent, now);
+    shared.metrics.fragile.set_services(fragile.count());
+    change
+}
+
+fn log_change(job: &Job, upstream: &directory::Upstream, change: Change) {
+    let id = job.head.id.as_str();
+    let (service, upstream) = (job.service.as_str(), upstream.id.as_str());
+    match change {
+        Change::Stated(limit) => {
+            log::info!(id, service, upstream, limit:% = limit; "the service states a rejection limit");
+        }
+        Change::Ended => {
+            log::info!(id, service, upstream; "the service no longer states a rejection limit");
+        }
+    }
+}
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -45,6 +45,8 @@
     let now = shared.clock.now();
     let mut cold = shared.cold();
     let mut throttle = shared.throttle();
+    let mut fragile = shared.fragile();
+    fragile.prepare(&job.service, pool.upstreams.iter());
     let filter = version_filter(shared, job, pool, &cold, &throttle);
     let settings = shared.settings.load();
     let speed = shared.speed();
@@ -70,10 +72,14 @@
             .filter(|upstream| filter.matches(upstream));
         upstreams.filter(|upstream| is_in_load_test(upstream))
     };
+    let balancer = shared.balancer();
+    let has_place = |one: &Upstream| fragile.admits(one, balancer.in_flight(&one.id), now);
     // What an upstream states binds always, what it is suspected of only while others are left.
-    let usable = || usable().filter(|upstream| throttle.admits(&upstream.id, now));
+    let usable = || {
+        let upstreams = usable().filter(|upstream| throttle.admits(&upstream.id, now));
+        upstreams.filter(|upstream| has_place(upstream))
+    };
     let admitted = || usable().filter(|upstream| cold.admits(&upstream.id, now));
-    let balancer = shared.balancer();
     let preferred = admitted().filter(|upstream| {
         throttle.prefers(&upstream.id, now) && balancer.is_available(&upstream.id, now)
     });
@@ -93,6 +99,8 @@
     drop(cold);
     throttle.record_send(&chosen.id, now);
     drop(throttle);
+    fragile.record_send(&chosen, now);
+    drop(fragile);
     if let Some(session) = job.head.session {
         // Recorded outside rollouts too: a session that started before a rollout keeps
         // its version until all requests go to the new one.
@@ -133,8 +141,12 @@
         .upstreams
         .iter()
         .filter(|upstream| filter.matches(upstream));
+    let fragile = shared.fragile();
+    let balancer = shared.balancer();
     usable.any(|upstream| {
-        throttle.admits(&upstream.id, now) && cold.admits_as_last_resort(&upstream.id, now)
+        throttle.admits(&upstream.id, now)
+            && fragile.admits(upstream, balancer.in_flight(&upstream.id), now)
+            && cold.admits_as_last_resort(&upstream.id, now)
     })
 }
 
@@ -241,7 +253,7 @@
     shared.tallies().tally(&key, open_old)
 }
 
-/// The refusal of `job` when no upstream can be selected. If all upstreams are cold or at the rates
+/// The refusal of `job` when no upstream can be selected. If all upstreams are cold or at the limits
 /// that they state, it tells the caller when to return.
 pub fn no_upstream_refusal<C: Codec>(
     shared: &Shared<C>,
@@ -261,12 +273,26 @@
     }
 }
 
-/// When the caller of `job` may return; `None` if no upstream of its service states a rate limit.
+/// When the caller of `job` may return; `None` if no upstream of its service states a limit.
 fn time_until_return<C: Codec>(shared: &Shared<C>, job: &Job) -> Option<Duration> {
     let now = shared.clock.now();
-    let rate = stated_rate(shared, &job.service)?;
-    let vms = usize::try_from(shared.fleet().vms()).unwrap_or(usize::MAX);
-    Some(shared.returns().assign(&job.service, rate, vms, now))
+    if let Some(rate) = stated_rate(shared, &job.service) {
+        let vms = usize::try_from(shared.fleet().vms()).unwrap_or(usize::MAX);
+        return Some(shared.returns().assign(&job.service, rate, vms, now));
+    }
+    let rate = place_rate(shared, &job.service)?;
+    let unplaced = &shared.metrics.fragile.unplaced;
+    unplaced.with_label_values(&[job.service.as_str()]).inc();
+    Some(shared.returns().assign(&job.service, rate, 1, now))
+}
+
+/// Requests a second that this VM may send to the upstreams of `service`; `None` if they are not
+/// fragile.
+fn place_rate<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> Option<throttle::Rate> {
+    let view = shared.view.load();
+    let upstreams = view.pools.get(service).into_iter();
+    let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
+    shared.fragile().rate(service, upstreams)
 }
 
 /// The sum of the rate limits that upstreams of `service` state; `None` if none does.
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,7 +7,8 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    balance, budget, cold, directory, escalation, exposure, id, path, poison, quota, throttle, time,
+    balance, budget, cold, directory, escalation, exposure, fragile, id, path, poison, quota,
+    throttle, time,
 };
 use tokio::sync::watch;
 
@@ -73,6 +74,7 @@
     cold: Mutex<cold::Register>,
     throttle: Mutex<throttle::Register>,
     returns: Mutex<throttle::Returns>,
+    fragile: Mutex<fragile::Register>,
     sizes: Mutex<escalation::Sizes>,
     caller_retries: Mutex<escalation::Retries>,
     /// The current process of each upstream.
@@ -103,7 +105,8 @@
         let balancer = balance::Balancer::new(settings.choice);
         let senders = quota::Senders::new(settings.vm.clone(), std::iter::empty());
         let cold = cold::Register::new(settings.cold, senders.clone());
-        let throttle = throttle::Register::new(settings.throttle, senders);
+        let throttle = throttle::Register::new(settings.throttle, senders.clone());
+        let fragile = fragile::Register::new(senders);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -126,6 +129,7 @@
             cold: Mutex::new(cold),
             throttle: Mutex::new(throttle),
             returns: Mutex::default(),
+            fragile: Mutex::new(fragile),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
             processes: Mutex::default(),
@@ -184,11 +188,16 @@
         lock(&self.throttle)
     }
 
-    /// When rejected callers may return to services whose upstreams state rate limits.
+    /// When rejected callers may return to services whose upstreams state limits.
     pub fn returns(&self) -> MutexGuard<'_, throttle::Returns> {
         lock(&self.returns)
     }
 
+    /// Services whose upstreams fail when they reject too many requests.
+    pub fn fragile(&self) -> MutexGuard<'_, fragile::Register> {
+        lock(&self.fragile)
+    }
+
     /// Typical request sizes by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
@@ -327,6 +336,7 @@
     fn reset_upstream(&self, upstream: &id::Upstream) {
         self.balancer().restart(upstream);
         self.throttle().restart(upstream, self.clock.now());
+        self.fragile().restart(upstream);
         self.pool.close_idle(upstream);
     }
 
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -5,7 +5,7 @@
 
 use cloverpost_core::balance::{self, Event};
 use cloverpost_core::poison::Fingerprint;
-use cloverpost_core::{directory, id};
+use cloverpost_core::{directory, id, time};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -22,6 +22,7 @@
     pub upstream: Arc<directory::Upstream>,
     /// Whether this VM had no other request in flight there on acquisition.
     pub was_idle: bool,
+    acquired: time::Moment,
     /// Number of restarts of the upstream on acquisition.
     restarts: u32,
     /// Estimated seconds of work before the response begins.
@@ -48,6 +49,7 @@
             (was_idle, balancer.restarts(&upstream.id))
         };
         Self {
+            acquired: shared.clock.now(),
             shared,
             upstream,
             was_idle,
@@ -113,6 +115,10 @@
     fn drop(&mut self) {
         self.release_work();
         self.with_balancer(balance::Balancer::request_ended);
+        let held = self.shared.clock.now().since(self.acquired);
+        self.shared
+            .fragile()
+            .record_end(&self.upstream.service, held);
         if !self.has_ended.load(Ordering::Relaxed) {
             crashes::record_given_up(&self.shared, self.fingerprint, &self.upstream);
         }
