fix(cloverpost): a VM without a place sends to fragile upstreams while they have room

Where there are more VMs than places, most have none.

Change: a VM without a free place may exceed its share while the load reports of its zone, scaled to all VMs and averaged over a second, show that half of the service's slots are free, and no VM told of a rejection within a second. The first rejection is told at once to the watchers, who tell all VMs; a service gives one notice in 250 ms at most. Upstreams on which the VM has a place come first.

Not a proof: beyond the shares the number of rejections depends on how fast reports and notices travel.

Test red before: `fragile_upstreams_with_room_serve_as_usual` (two thirds of the usual share).

--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -110,6 +110,15 @@
         usize::try_from(self.load(upstream).in_flight).unwrap_or(usize::MAX)
     }
 
+    /// Number of requests in flight on `upstream` from the other VMs that report to this one; `None`
+    /// without a report lately.
+    #[must_use]
+    pub fn in_flight_of_peers(&self, upstream: &id::Upstream, now: time::Moment) -> Option<usize> {
+        let (_, in_flight) = self.peers.load(upstream, now);
+        let is_known = !self.peers.is_stale(now);
+        is_known.then(|| usize::try_from(in_flight).unwrap_or(usize::MAX))
+    }
+
     /// Used and total slots of `upstreams`, counting only this VM's requests as used.
     #[must_use]
     pub fn occupancy<'a>(
--- a/crates/cloverpost-core/src/fragile/allowance.rs
+++ b/crates/cloverpost-core/src/fragile/allowance.rs
@@ -33,6 +33,11 @@
         in_flight + rejected < self.places(share)
     }
 
+    /// Whether a request may be sent beyond the share, while the upstream has room.
+    pub fn admits_excess(&self, share: Share, in_flight: usize, now: time::Moment) -> bool {
+        self.rejected.count(REJECTED_WINDOW, now) == 0 && in_flight <= share.places
+    }
+
     /// Records a request.
     pub fn record_send(&mut self, now: time::Moment) {
         self.last_sent = now;
--- a/crates/cloverpost-core/src/quota/senders.rs
+++ b/crates/cloverpost-core/src/quota/senders.rs
@@ -10,15 +10,20 @@
 pub struct Senders {
     own: id::Vm,
     vms: Vec<(id::Vm, id::AvailabilityZone)>,
+    count_in_zone: usize,
 }
 
 impl Senders {
     /// Creates the candidates from `members`, where `own` is this VM.
     pub fn new<'a>(own: id::Vm, members: impl Iterator<Item = &'a Member>) -> Self {
         let vms = members.map(|one| (one.vm.clone(), one.zone.clone()));
+        let vms: Vec<_> = vms.collect();
+        let zone = vms.iter().find(|(vm, _)| *vm == own).map(|(_, zone)| zone);
+        let in_zone = vms.iter().filter(|(_, other)| zone == Some(other));
         Self {
+            count_in_zone: in_zone.count(),
             own,
-            vms: vms.collect(),
+            vms,
         }
     }
 
@@ -43,6 +48,12 @@
         self.vms.len()
     }
 
+    /// Number of candidates in this VM's availability zone.
+    #[must_use]
+    pub fn count_in_zone(&self) -> usize {
+        self.count_in_zone
+    }
+
     fn rank_by<K: Ord>(&self, key: impl Fn(&id::Vm, &id::AvailabilityZone) -> K) -> Option<usize> {
         let (own, zone) = self.vms.iter().find(|(vm, _)| *vm == self.own)?;
         let own = key(own, zone);
--- a/crates/cloverpost-core/tests/behaviour/fragile/fleet.rs
+++ b/crates/cloverpost-core/tests/behaviour/fragile/fleet.rs
@@ -25,7 +25,7 @@
             let own = self.in_flight.iter().filter(|(other, _)| *other == vm);
             let own = own.count();
             let register = &mut self.registers[vm];
-            if !register.admits(&upstream(), own, at(now)) {
+            if !register.has_place(&upstream(), own, at(now)) {
                 return;
             }
             register.record_send(&upstream(), at(now));
--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -1,7 +1,8 @@
 //! Messages between VMs.
 
 use cloverpost_core::{
-    balance, billing, directory, evidence, exposure, membership, poison, rollout, spread, throttle,
+    balance, billing, directory, evidence, exposure, fragile, membership, poison, rollout, spread,
+    throttle,
 };
 
 use crate::hello;
@@ -36,6 +37,8 @@
     Throttle(Vec<throttle::Notice>),
     /// First frame of a tunnel to an upstream.
     Tunnel(directory::Tunnel),
+    /// Rejections of fragile upstreams.
+    Fragile(Vec<fragile::Notice>),
 }
 
 impl Message {
@@ -56,6 +59,7 @@
             Self::Balance(_) => "loads",
             Self::Throttle(_) => "rate_limits",
             Self::Tunnel(_) => "tunnels",
+            Self::Fragile(_) => "rejections",
         }
     }
 }
--- a/crates/cloverpost/src/control/dispatch.rs
+++ b/crates/cloverpost/src/control/dispatch.rs
@@ -30,7 +30,8 @@
             | Message::Exposure(_)
             | Message::Balance(_)
             | Message::Throttle(_)
-            | Message::Tunnel(_) => {
+            | Message::Tunnel(_)
+            | Message::Fragile(_) => {
                 log::debug!("ignored message from {from}: only used in gateway mode");
             }
             Message::Hello(_) => log::debug!("ignored repeated hello from {from}"),
--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -52,6 +52,8 @@
     },
     /// This VM found or dismissed evidence against requests that crash upstreams.
     CrashFacts(Vec<quarantine::Notification>),
+    /// Fragile upstreams rejected requests of this VM.
+    Rejections,
     /// Rollout writes finished.
     WritesDone(Vec<(Step, Result<(), Error>)>),
     /// The periodic timer fired.
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -10,6 +10,7 @@
 mod periodic;
 mod quarantine;
 mod rate_limits;
+mod rejections;
 mod tables;
 mod view_log;
 mod writes;
@@ -196,6 +197,8 @@
         if let Some(facts) = state.context.shared.quarantine.take_outgoing() {
             tokio::spawn(quarantine::forward(facts, myself.clone()));
         }
+        let shared = state.context.shared.clone();
+        tokio::spawn(rejections::forward(shared, myself.clone()));
         myself.send_interval(TICK, || Command::Tick);
         Ok(state)
     }
@@ -226,6 +229,7 @@
                 state.handle_peer_response(&myself, &peer, took, response);
             }
             Command::CrashFacts(notifications) => state.share_crash_facts(notifications),
+            Command::Rejections => state.share_rejections(),
             Command::WritesDone(results) => state.handle_write_results(&myself, &results),
             Command::Tick => state.tick(&myself),
         }
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -45,6 +45,34 @@
         }
     }
 
+    /// The other VMs of this availability zone.
+    pub(super) fn peers_of_zone(&self) -> Vec<peer::Target> {
+        let own = &self.context.own;
+        let members = self.image.members.rows.values().map(|row| &row.value);
+        let others = members.filter(|member| member.zone == own.zone && member.vm != own.vm);
+        others.map(target).collect()
+    }
+
+    /// The watchers of this availability zone.
+    pub(super) fn watchers_of_zone(&self) -> Vec<peer::Target> {
+        let zone = &self.context.own.zone;
+        let watchers = self.image.members.watchers().into_iter();
+        watchers
+            .filter(|watcher| watcher.zone == *zone)
+            .map(target)
+            .collect()
+    }
+
+    /// The watchers of the other availability zones.
+    pub(super) fn watchers_of_other_zones(&self) -> Vec<peer::Target> {
+        let zone = &self.context.own.zone;
+        let watchers = self.image.members.watchers().into_iter();
+        watchers
+            .filter(|watcher| watcher.zone != *zone)
+            .map(target)
+            .collect()
+    }
+
     /// Returns whether the tables of this VM are up to date with the store.
     pub(super) fn has_store_contact(&self) -> bool {
         let is_answered = self.now().since(self.last_store_response) < STORE_CONTACT_WINDOW;
@@ -182,6 +210,10 @@
                 self.merge_rate_limits(&from, notices);
                 return;
             }
+            Message::Fragile(notices) => {
+                self.merge_rejections(&incoming.from.vm, notices);
+                return;
+            }
             Message::Exposure(message) => {
                 self.merge_exposure(incoming.from.vm, message);
                 return;
--- a/crates/cloverpost/src/gateway/control/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/control/rate_limits.rs
@@ -12,7 +12,6 @@
 
 use crate::gateway::codec::Codec;
 use crate::gateway::control::State;
-use crate::gateway::control::peers::target;
 use crate::gateway::store::Store;
 use crate::peer;
 
@@ -37,11 +36,7 @@
             }
             return;
         }
-        let zone = &self.context.own.zone;
-        let watchers = self.image.members.watchers();
-        let watchers = watchers.into_iter().filter(|watcher| watcher.zone == *zone);
-        let watchers: Vec<_> = watchers.map(target).collect();
-        self.send_rate_limits(&watchers, &news);
+        self.send_rate_limits(&self.watchers_of_zone(), &news);
     }
 
     /// Merges notices of another VM. A watcher forwards what changes to its zone, and to the
@@ -80,18 +75,12 @@
     }
 
     fn send_rate_limits_to_zone(&self, notices: &[Notice]) {
-        let own = &self.context.own;
-        let members = self.image.members.rows.values().map(|row| &row.value);
-        let others = members.filter(|member| member.zone == own.zone && member.vm != own.vm);
-        self.send_rate_limits(&others.map(target).collect::<Vec<_>>(), notices);
+        self.send_rate_limits(&self.peers_of_zone(), notices);
     }
 
     /// Sends `notices` to the watchers of other availability zones.
     fn send_rate_limits_to_watchers(&self, notices: &[Notice]) {
-        let zone = &self.context.own.zone;
-        let watchers = self.image.members.watchers();
-        let others = watchers.into_iter().filter(|member| member.zone != *zone);
-        self.send_rate_limits(&others.map(target).collect::<Vec<_>>(), notices);
+        self.send_rate_limits(&self.watchers_of_other_zones(), notices);
     }
 
     fn send_rate_limits(&self, targets: &[peer::Target], notices: &[Notice]) {
--- a/crates/cloverpost/src/gateway/rejection_limits.rs
+++ b/crates/cloverpost/src/gateway/rejection_limits.rs
@@ -28,9 +28,12 @@
     // The rejected request still has its slot.
     let accepted = shared.balancer().in_flight(&upstream.id).saturating_sub(1);
     let mut fragile = shared.fragile();
-    fragile.record_rejection(upstream, accepted, now);
+    let is_news = fragile.record_rejection(upstream, accepted, now);
     let limit = fragile.limit(&upstream.service);
     drop(fragile);
+    if is_news {
+        shared.rejection_news.notify_one();
+    }
     if let Some(limit) = limit {
         let service = job.service.as_str();
         let rejections = &shared.metrics.fragile.rejections;
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::balance::Criteria;
+use cloverpost_core::balance::{Balancer, Criteria};
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
 use cloverpost_core::dispatch::Dispatch;
 use cloverpost_core::refusal::Refusal;
-use cloverpost_core::{cold, exposure, id, throttle, time};
+use cloverpost_core::{cold, exposure, fragile, id, throttle, time};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -46,7 +46,10 @@
     let mut cold = shared.cold();
     let mut throttle = shared.throttle();
     let mut fragile = shared.fragile();
-    fragile.prepare(&job.service, pool.upstreams.iter());
+    if fragile.limit(&job.service).is_some() {
+        let load = total_load(&shared.balancer(), pool, now);
+        fragile.prepare(&job.service, pool.upstreams.iter(), load, now);
+    }
     let filter = version_filter(shared, job, pool, &cold, &throttle);
     let settings = shared.settings.load();
     let speed = shared.speed();
@@ -73,12 +76,16 @@
         upstreams.filter(|upstream| is_in_load_test(upstream))
     };
     let balancer = shared.balancer();
-    let has_place = |one: &Upstream| fragile.admits(one, balancer.in_flight(&one.id), now);
+    let has_place = |one: &Upstream| fragile.has_place(one, balancer.in_flight(&one.id), now);
     // What an upstream states binds always, what it is suspected of only while others are left.
-    let usable = || {
-        let upstreams = usable().filter(|upstream| throttle.admits(&upstream.id, now));
-        upstreams.filter(|upstream| has_place(upstream))
+    let usable = || usable().filter(|upstream| throttle.admits(&upstream.id, now));
+    let is_placed = usable().any(|upstream| !tried.contains(&upstream.id) && has_place(upstream));
+    let is_light = !is_placed && is_light(&fragile, pool, &job.service, now);
+    let fits = |one: &Upstream| {
+        let load = load(&balancer, &one.id, now);
+        fragile.admits(one, load, is_light, now)
     };
+    let usable = || usable().filter(|upstream| fits(upstream));
     let admitted = || usable().filter(|upstream| cold.admits(&upstream.id, now));
     let preferred = admitted().filter(|upstream| {
         throttle.prefers(&upstream.id, now) && balancer.is_available(&upstream.id, now)
@@ -127,6 +134,34 @@
     })
 }
 
+/// Whether the upstreams of `service` are likely to accept requests beyond the shares of this VM.
+fn is_light(
+    fragile: &fragile::Register,
+    pool: &Pool,
+    service: &id::Pool,
+    now: time::Moment,
+) -> bool {
+    let slots = pool.upstreams.iter().map(|upstream| upstream.slots).sum();
+    fragile.is_light(service, slots, now)
+}
+
+/// What this VM knows of the requests on all upstreams of `pool`.
+fn total_load(balancer: &Balancer, pool: &Pool, now: time::Moment) -> fragile::Load {
+    let upstreams = pool.upstreams.iter();
+    let loads = upstreams.map(|upstream| load(balancer, &upstream.id, now));
+    loads.reduce(fragile::Load::plus).unwrap_or_default()
+}
+
+/// What this VM knows of the requests on `upstream`.
+fn load(balancer: &Balancer, upstream: &id::Upstream, now: time::Moment) -> fragile::Load {
+    let own = balancer.in_flight(upstream);
+    let peers = balancer.in_flight_of_peers(upstream, now);
+    fragile::Load {
+        own,
+        zone: peers.map(|peers| own + peers),
+    }
+}
+
 /// Whether an upstream takes another attempt of `job` now.
 pub fn has_upstream<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
     let view = shared.view.load();
@@ -143,9 +178,10 @@
         .filter(|upstream| filter.matches(upstream));
     let fragile = shared.fragile();
     let balancer = shared.balancer();
+    let is_light = is_light(&fragile, pool, &job.service, now);
     usable.any(|upstream| {
         throttle.admits(&upstream.id, now)
-            && fragile.admits(upstream, balancer.in_flight(&upstream.id), now)
+            && fragile.admits(upstream, load(&balancer, &upstream.id, now), is_light, now)
             && cold.admits_as_last_resort(&upstream.id, now)
     })
 }
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -10,7 +10,7 @@
     balance, budget, cold, directory, escalation, exposure, fragile, id, path, poison, quota,
     throttle, time,
 };
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
 use crate::gateway::codec::Codec;
@@ -75,6 +75,8 @@
     throttle: Mutex<throttle::Register>,
     returns: Mutex<throttle::Returns>,
     fragile: Mutex<fragile::Register>,
+    /// Notified when other VMs should be told of rejections.
+    pub rejection_news: Notify,
     sizes: Mutex<escalation::Sizes>,
     caller_retries: Mutex<escalation::Retries>,
     /// The current process of each upstream.
@@ -130,6 +132,7 @@
             throttle: Mutex::new(throttle),
             returns: Mutex::default(),
             fragile: Mutex::new(fragile),
+            rejection_news: Notify::new(),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
             processes: Mutex::default(),
