--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -324,6 +324,10 @@
     let rate = place_rate(shared, &job.service)?;
     let unplaced = &shared.metrics.fragile.unplaced;
     unplaced.with_label_values(&[job.service.as_str()]).inc();
+    log::info!(
+        id = job.head.id.as_str(), service = job.service.as_str(), rate:%;
+        "no place on a fragile upstream"
+    );
     Some(shared.returns().assign(&job.service, rate, 1, now))
 }
 
