fix(cloverpost): a crash counts while most other upstreams are down

Cause: a VM takes a refused upstream for crashed only if it reaches another one. It tried three drawn at random; where most upstreams are down, as one poison request after another ends them, all three may be, and the crash counted as a lost path: no evidence, the upstream not ejected. The VM then asked no witness either. Ruled out: time (the counts never rose, however long the test waited).

Change: upstreams that are not ejected are tried first, twelve more if the first three fail, and witnesses are asked in any case; one that reaches others and not this upstream is believed.

Test: a_crash_is_evidence_while_most_other_upstreams_are_down failed before (timed out until each crash counts), passes now.

--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
 use crate::gateway::dial;
+use crate::gateway::faults;
 use crate::gateway::pool::Connection;
 use crate::peer::tunnel::{self, Liveness, Rejection};
 use crate::peer::{Target, Tunnel};
@@ -34,8 +35,9 @@
 const LOSS_CHECK_DELAY: Duration = Duration::from_millis(10);
 /// Time after which a check says nothing about a connection that is lost then.
 const LOSS_CHECK_EXPIRY: Duration = Duration::from_millis(250);
-/// Number of other upstreams that a VM connects to, to find out whether it reaches any.
-const CONTROLS: usize = 3;
+/// Numbers of other upstreams that a VM connects to at once, to find out whether it reaches any. The
+/// second ones follow if the first fail.
+const CONTROLS: [usize; 2] = [3, 12];
 /// Interval between checks for a direct path to try again.
 const PROBE_TICK: Duration = Duration::from_millis(250);
 
@@ -310,9 +312,7 @@
             Err(_) => return Loss::Path,
         }
     }
-    if !is_broken && !is_refused_alone(shared, upstream).await {
-        return Loss::Path;
-    }
+    let is_refused_alone = !is_broken && is_refused_alone(shared, upstream).await;
     let peers = ranked_peers(shared);
     let witnesses = peers.iter().take(WITNESSES);
     let answers = witnesses.map(|peer| open_tunnel(shared, peer, upstream));
@@ -324,7 +324,7 @@
     let down = tunnel::Error::Rejected(Rejection::UpstreamDown);
     let is_down = |answer: &Result<_, tunnel::Error>| answer.as_ref().err() == Some(&down);
     // A VM that reaches others has lost a single path at most, which a witness would have shown.
-    if !is_broken || answers.iter().any(is_down) {
+    if is_refused_alone || answers.iter().any(is_down) {
         Loss::Upstream
     } else {
         Loss::Path
@@ -352,26 +352,46 @@
     }
 }
 
-/// Whether this VM reaches another upstream than `upstream` directly. Those of other services come
-/// first, as a fault may affect a whole service.
+/// Whether this VM reaches another upstream than `upstream` directly. Those that are not ejected come
+/// first, and of them those of other services, as a fault may affect a whole service.
 pub async fn reaches_others<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> bool {
-    let view = shared.view.load_full();
-    let mut others: Vec<_> = view
-        .upstreams()
-        .filter(|other| other.id != upstream.id)
-        .map(|other| {
-            (
-                other.service == upstream.service,
-                rand::random::<u64>(),
-                other,
-            )
-        })
-        .collect();
-    others.sort_by_key(|(is_same, draw, _)| (*is_same, *draw));
-    let controls = others.into_iter().take(CONTROLS);
-    let dials = controls.map(|(_, _, other)| Box::pin(shared.pool.dial(other)));
-    let dials: Vec<_> = dials.collect();
-    !dials.is_empty() && futures_util::future::select_ok(dials).await.is_ok()
+    let mut others = ranked_others(shared, upstream).into_iter();
+    for controls in CONTROLS {
+        let controls = others.by_ref().take(controls);
+        let dials = controls.map(|other| Box::pin(dial(shared, other)));
+        let dials: Vec<_> = dials.collect();
+        if !dials.is_empty() && futures_util::future::select_ok(dials).await.is_ok() {
+            return true;
+        }
+    }
+    false
+}
+
+async fn dial<C: Codec>(
+    shared: &Shared<C>,
+    upstream: Arc<directory::Upstream>,
+) -> Result<faults::Stream, dial::Error> {
+    shared.pool.dial(&upstream).await
+}
+
+/// All upstreams but `upstream`, those first that this VM is most likely to reach.
+fn ranked_others<C: Codec>(
+    shared: &Shared<C>,
+    upstream: &directory::Upstream,
+) -> Vec<Arc<directory::Upstream>> {
+    let now = shared.clock.now();
+    let view = shared.view.load();
+    let balancer = shared.balancer();
+    let others = view.upstreams().filter(|other| other.id != upstream.id);
+    let rank = |other: &directory::Upstream| {
+        let is_ejected = !balancer.is_available(&other.id, now);
+        let is_same = other.service == upstream.service;
+        (is_ejected, is_same, rand::random::<u64>())
+    };
+    let mut others: Vec<_> = others.map(|other| (rank(other), other.clone())).collect();
+    drop(balancer);
+    others.sort_unstable_by_key(|(rank, _)| *rank);
+    others.into_iter().map(|(_, other)| other).collect()
 }
 
 /// Tries broken direct paths again, one at a time.
