fix(cloverpost): the check of a lost connection does not wait for VMs that are slow to answer

A request that loses its connection waits 50 ms for the check whether its upstream crashed. Since other VMs are asked as well, up to 250 ms after one another with the VM's own check, the check often took longer: the request went on as if only the path was lost, without evidence, by load.

Ruled out: the VM's own part (two refused connects and one to another upstream; made one of them).

Change: other VMs are asked beside the VM's own check and have 25 ms.

--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -31,6 +31,8 @@
 const MAX_ASKED: usize = 6;
 /// Number of VMs that are asked whether an upstream is down.
 const WITNESSES: usize = 2;
+/// Timeout of their answers. A request that has lost its connection waits for them.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(25);
 /// Delay before the check of an upstream that closed a connection.
 const LOSS_CHECK_DELAY: Duration = Duration::from_millis(10);
 /// Time after which a check says nothing about a connection that is lost then.
@@ -312,11 +314,9 @@
             Err(_) => return Loss::Path,
         }
     }
-    let is_refused_alone = !is_broken && is_refused_alone(shared, upstream).await;
-    let peers = ranked_peers(shared);
-    let witnesses = peers.iter().take(WITNESSES);
-    let answers = witnesses.map(|peer| open_tunnel(shared, peer, upstream));
-    let answers = futures_util::future::join_all(answers).await;
+    let is_refused_alone = async { !is_broken && is_refused_alone(shared, upstream).await };
+    let (is_refused_alone, answers) =
+        tokio::join!(is_refused_alone, ask_witnesses(shared, upstream));
     if answers.iter().any(Result::is_ok) {
         record_broken(shared, upstream, dial::Error::Refused);
         return Loss::Path;
@@ -331,6 +331,22 @@
     }
 }
 
+/// Asks other VMs for a tunnel to `upstream`, to find out whether they reach it.
+async fn ask_witnesses<C: Codec>(
+    shared: &Shared<C>,
+    upstream: &directory::Upstream,
+) -> Vec<Result<(Tunnel, Liveness), tunnel::Error>> {
+    let peers = ranked_peers(shared);
+    let witnesses = peers.iter().take(WITNESSES);
+    let answers = witnesses.map(async |peer| {
+        let answer = open_tunnel(shared, peer, upstream);
+        let timed_out = tunnel::Error::Peer(crate::peer::Error::TimedOut);
+        let answer = tokio::time::timeout(WITNESS_TIMEOUT, answer).await;
+        answer.unwrap_or(Err(timed_out))
+    });
+    futures_util::future::join_all(answers).await
+}
+
 /// Whether `upstream` refuses this VM right after another one accepted it. A path that works again
 /// after the first refusal would otherwise look like the crash of this upstream.
 async fn is_refused_alone<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> bool {
