fix(cloverpost): a request that is newly quarantined waits for the evidence of other VMs

Callers' innocent requests were rejected beside poison requests: 503 or 502 `quarantined`, though their crashes were explained by another request a moment later.

Cause: a request that shared the crashes of a poison request counts as its own cause until the evidence against the other has come. Both are told as the VMs' checks end, some tens of ms apart, by way of the watchers. Evidence: logs of the rig, `quarantined ... after a report from a peer` and `released ...` 10 ms later, with the rejection of an innocent copy between them.

Change: a request that is to be rejected waits until the latest news of it is 150 ms old, once, then the decision is made again. It runs nowhere meanwhile, so no poison request gains an attempt.

--- a/crates/cloverpost-core/src/poison/register.rs
+++ b/crates/cloverpost-core/src/poison/register.rs
@@ -95,6 +95,17 @@
         is_quarantined.then(|| record.expires_at.since(now))
     }
 
+    /// Time since there was news of requests with `fingerprint`; `None` without any.
+    #[must_use]
+    pub fn time_since_news(
+        &self,
+        fingerprint: &Fingerprint,
+        now: time::Moment,
+    ) -> Option<Duration> {
+        let record = self.records.get(fingerprint)?;
+        Some(now.since(record.changed_at))
+    }
+
     /// Facts about requests with `fingerprint` that are still in effect.
     pub fn facts_of(
         &self,
--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -39,6 +39,8 @@
 /// Delay before the check of an upstream whose attempt was given up. It may crash only a while after
 /// the connection was closed.
 const GIVEN_UP_CHECK_DELAY: Duration = Duration::from_millis(200);
+/// Time after the latest news of a request in which VMs report other requests that shared its crashes.
+const SETTLE_TIME: Duration = Duration::from_millis(150);
 /// Message of the refusal.
 const REASON: &str = "this request has crashed the upstreams that ran it";
 
@@ -53,7 +55,10 @@
 }
 
 /// Whether `job` must not run. Releases it if a copy succeeded on this VM lately.
-pub fn is_quarantined<C: Codec>(shared: &Arc<Shared<C>>, job: &Job) -> bool {
+///
+/// Waits up to [`SETTLE_TIME`] if the quarantine is new: other VMs may report the crashes as those
+/// of another request, which was in flight there as well.
+pub async fn is_quarantined<C: Codec>(shared: &Arc<Shared<C>>, job: &Job) -> bool {
     if status(shared, job) != Status::Quarantined {
         return false;
     }
@@ -61,8 +66,20 @@
     let has_succeeded = shared.successes().contains(job.fingerprint().prefix(), now);
     if has_succeeded {
         lift(shared, job, "a copy succeeded on this VM before");
+        return false;
+    }
+    let news = shared.quarantine.time_since_news(&job.fingerprint(), now);
+    let unsettled = SETTLE_TIME.saturating_sub(news.unwrap_or_default());
+    if unsettled.is_zero() || now + unsettled >= job.deadline {
+        return true;
     }
-    !has_succeeded
+    tokio::time::sleep(unsettled).await;
+    let is_quarantined = status(shared, job) == Status::Quarantined;
+    log::info!(
+        id = job.head.id.as_str(), fingerprint:% = job.fingerprint(), is_quarantined;
+        "waited for other evidence about the crashes of the request"
+    );
+    is_quarantined
 }
 
 /// Whether this VM knows of evidence against `job`.
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -45,17 +45,7 @@
             );
             response.map(|body| Either::Left(Full::new(body)))
         }
-        Ok(job) if crashes::is_quarantined(&shared, &job) => {
-            let refusal = crashes::refusal(&shared, &job);
-            let response = response::refusal_response(&refusal);
-            record_refusal(&shared, &job, &refusal, &response);
-            response.map(|body| Either::Left(Full::new(body)))
-        }
-        Ok(job) if job.route.kind.is_stream() => respond_with_stream(&shared, job).await,
-        Ok(job) => {
-            let response = respond_in_full(&shared, job).await;
-            response.map(|body| Either::Left(Full::new(body)))
-        }
+        Ok(job) => respond(&shared, job).await,
     };
     if is_leaving {
         let close = HeaderValue::from_static("close");
@@ -64,6 +54,24 @@
     response
 }
 
+async fn respond<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: Job,
+) -> RouteResponse<impl Stream<Item = Result<Frame<Bytes>, StreamAborted>> + Send + 'static + use<C>>
+{
+    if crashes::is_quarantined(shared, &job).await {
+        let refusal = crashes::refusal(shared, &job);
+        let response = response::refusal_response(&refusal);
+        record_refusal(shared, &job, &refusal, &response);
+        return response.map(|body| Either::Left(Full::new(body)));
+    }
+    if job.route.kind.is_stream() {
+        return respond_with_stream(shared, job).await;
+    }
+    let response = respond_in_full(shared, job).await;
+    response.map(|body| Either::Left(Full::new(body)))
+}
+
 type AdmissionError = (Option<RequestHead>, Refusal);
 
 async fn admit<C: Codec>(
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -207,7 +207,7 @@
                 after = self.splitter.last_id().unwrap_or("start");
                 "stream broke off"
             );
-            let next = unary::next_step(&self.shared, &self.job, &mut self.dispatch, failure);
+            let next = unary::next_step(&self.shared, &self.job, &mut self.dispatch, failure).await;
             if let Next::Refuse(refusal) = next {
                 return Err(refusal);
             }
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -75,7 +75,7 @@
             Err(failure) => failure,
         };
         failed_upstreams.push(upstream.id.clone());
-        match unary::next_step(shared, &job, &mut dispatch, failure) {
+        match unary::next_step(shared, &job, &mut dispatch, failure).await {
             Next::Retry => {}
             Next::Refuse(refusal) => {
                 return failure_response.map_or(StreamStart::Refused(refusal), StreamStart::Failed);
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -79,7 +79,7 @@
             }
             Err(failure) => failure,
         };
-        match next_step(shared, job, &mut dispatch, failure) {
+        match next_step(shared, job, &mut dispatch, failure).await {
             Next::Retry => {}
             Next::Refuse(refusal) => {
                 return failure_response.map_or(Outcome::Refused(refusal), Outcome::Answered);
@@ -90,13 +90,13 @@
 
 /// Decides whether to retry `job` after a failed attempt, and takes the retry from the budget
 /// unless the failure is exempt.
-pub fn next_step<C: Codec>(
+pub async fn next_step<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
     dispatch: &mut Dispatch,
     failure: Failure,
 ) -> Next {
-    if crashes::is_quarantined(shared, job) {
+    if crashes::is_quarantined(shared, job).await {
         return Next::Refuse(crashes::stop(dispatch, failure));
     }
     let now = shared.clock.now();
--- a/crates/cloverpost/src/quarantine/mod.rs
+++ b/crates/cloverpost/src/quarantine/mod.rs
@@ -80,6 +80,16 @@
         self.register().remaining(fingerprint, now)
     }
 
+    /// Time since there was news of the request; `None` without any.
+    #[must_use]
+    pub fn time_since_news(
+        &self,
+        fingerprint: &Fingerprint,
+        now: time::Moment,
+    ) -> Option<Duration> {
+        self.register().time_since_news(fingerprint, now)
+    }
+
     /// Records a crash and waits until the peers have been notified.
     ///
     /// Without the wait, the request could be retried on several VMs and crash an
