fix(cloverpost): connections to an upstream survive a second of silence

A booking that was sent while a sound upstream was silent for a second got 502, and a body that the upstream did not read for a second was cut off: TCP_USER_TIMEOUT was 1 s for upstreams.

Change: 2.5 s, as for silent streams. What can be sent again would wait so long for a host that went dark or a path that is cut, so an attempt opens another connection after a second without data from its upstream, and goes elsewhere if none opens directly. Ruled out: no timeout (nothing else ends a booking at a dark host before its deadline), 2.5 s alone (by reading).

Tests: a_request_survives_a_short_silence_of_its_upstream (emulated hang of 1.4 s) failed before for bookings (502); a_booking_survives_an_upstream_that_stops_reading_for_a_moment (real sockets, window full for 1.4 s) failed before (502 `lost`), passed in 5 of 5 plays after; a_request_on_a_connection_that_hangs_goes_through_another_vm holds the time for what can be sent again (1.7 s).

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -26,6 +26,8 @@
 /// that waits there is retried on another upstream. It must exceed the silence of an
 /// engine that processes a long prompt, which reaches 1.3 s for 50,000 tokens.
 pub const SILENCE_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Time without data from an upstream after which an attempt that may be retried checks its path.
+const PATH_CHECK_SILENCE: Duration = Duration::from_secs(1);
 /// Shortest interval between checks of a silent upstream.
 pub const MIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Timeout of a stream's response head as a multiple of the route's target latency. It
@@ -241,6 +243,11 @@
         (half, half)
     };
     let mut is_recorded = false;
+    let mut has_path = true;
+    let mut check_after = match silence_limit {
+        Duration::MAX => Duration::MAX,
+        _ => PATH_CHECK_SILENCE,
+    };
     let mut failure = Failure::TimedOut;
     loop {
         let now = shared.clock.now();
@@ -262,7 +269,15 @@
                 return failure;
             }
         }
-        let rest = silence_limit.saturating_sub(silence);
+        if silence >= check_after {
+            check_after = Duration::MAX;
+            let check = path::is_direct(shared, &slot.upstream);
+            has_path = tokio::time::timeout(left, check).await.unwrap_or(true);
+        }
+        if !has_path && selection::may_send_again(shared, job) {
+            return Failure::PathLost;
+        }
+        let rest = silence_limit.min(check_after).saturating_sub(silence);
         let rest = rest
             .min(limit.saturating_sub(waited))
             .max(MIN_POLL_INTERVAL);
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -368,6 +368,17 @@
     }
 }
 
+/// Whether this VM has a direct path to `upstream` now.
+pub async fn is_direct<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> bool {
+    match connect(shared, upstream).await {
+        Ok(connection) if !connection.is_tunnelled() => {
+            shared.pool.put_back(connection);
+            true
+        }
+        Ok(_) | Err(_) => false,
+    }
+}
+
 /// Whether this VM reaches another upstream than `upstream` directly. Those that are not ejected come
 /// first, and of them those of other services, as a fault may affect a whole service.
 pub async fn reaches_others<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> bool {
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -9,7 +9,7 @@
 ///
 /// A peer that lost power or is partitioned off sends no reset. The kernel of a
 /// reachable peer acknowledges data even if its process is busy, so these timeouts can
-/// be far shorter than those for responses.
+/// be shorter than those for responses. They also end a transfer whose peer does not read.
 #[derive(Clone, Copy, Debug)]
 pub struct DeadPeerTimeouts {
     /// Longest time for which sent data may stay unacknowledged (`TCP_USER_TIMEOUT`).
@@ -24,10 +24,9 @@
     keep_alive: Duration::from_secs(5),
 };
 
-/// Timeouts for upstreams, whose round-trip time is a few milliseconds. One second
-/// leaves time for two retransmissions.
+/// Timeouts for upstreams, which may be silent for more than a second and go on.
 pub const UPSTREAM_TIMEOUTS: DeadPeerTimeouts = DeadPeerTimeouts {
-    user_timeout: Duration::from_secs(1),
+    user_timeout: Duration::from_millis(2_500),
     keep_alive: Duration::from_secs(1),
 };
 
