refactor: one copy of the conversions of counts and of reading a stated limit

share.rs, allowance.rs, register.rs and allotment.rs each had floor and to_f64; rate_limits.rs and rejection_limits.rs each read a stated limit. Decisions are unchanged; the two log lines about a limit that cannot be read are one now.

--- a/crates/cloverpost-core/src/fragile/allowance.rs
+++ b/crates/cloverpost-core/src/fragile/allowance.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::count;
 use crate::fragile::Share;
 use crate::quota::RecentSends;
 use crate::time;
@@ -46,29 +47,19 @@
     /// Records that the upstream rejected a request while it had `accepted` others of this VM.
     pub fn record_rejection(&mut self, accepted: usize, now: time::Moment) {
         self.rejected.record(REJECTED_WINDOW, now);
-        self.window = Some(to_f64(accepted.max(1)));
+        self.window = Some(count::to_f64(accepted.max(1)));
     }
 
     /// Records that the upstream accepted a request.
     pub fn record_response(&mut self, share: Share) {
         let grown = self.window.map(|window| window + 1.0 / window);
-        self.window = grown.filter(|window| *window < to_f64(share.places));
+        self.window = grown.filter(|window| *window < count::to_f64(share.places));
     }
 
     /// Places in use.
     fn places(&self, share: Share) -> usize {
-        self.window
-            .map_or(share.places, |window| floor(window).min(share.places))
+        self.window.map_or(share.places, |window| {
+            count::floor(window).min(share.places)
+        })
     }
 }
-
-/// The integer part of a number that is not negative.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
-fn floor(number: f64) -> usize {
-    number.max(0.0) as usize
-}
-
-#[allow(clippy::cast_precision_loss)] // far below 2^52
-fn to_f64(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/cloverpost-core/src/fragile/register.rs
+++ b/crates/cloverpost-core/src/fragile/register.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::count;
 use crate::directory::{Upstream, View};
 use crate::fragile::allowance::Allowance;
 use crate::fragile::{Load, Notice, Share};
@@ -311,7 +312,7 @@
 
     /// Requests in flight from all VMs.
     fn estimate(&self, load: Load) -> f64 {
-        to_f64(load.estimate(self.senders.count(), self.senders.count_in_zone()))
+        count::to_f64(load.estimate(self.senders.count(), self.senders.count_in_zone()))
     }
 
     /// Rejections a second that each upstream of `service` survives; `None` if it is not fragile.
@@ -361,8 +362,3 @@
         self.ranks.retain(|id, _| fragile.contains(id));
     }
 }
-
-#[allow(clippy::cast_precision_loss)] // far below 2^52
-fn to_f64(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/cloverpost-core/src/fragile/share.rs
+++ b/crates/cloverpost-core/src/fragile/share.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::count;
 use crate::throttle::Rate;
 
 /// Part of the stated rejections by which the requests in flight may exceed the slots. The rest is
@@ -27,13 +28,13 @@
     /// `limit`. A VM without a rank has no place.
     #[must_use]
     pub fn new(limit: Rate, slots: u32, vms: usize, rank: Option<usize>) -> Self {
-        let excess = floor(limit.per_second() * EXCESS_FRACTION);
+        let excess = count::floor(limit.per_second() * EXCESS_FRACTION);
         let slots = usize::try_from(slots).unwrap_or(usize::MAX);
         let places = slots.saturating_add(excess);
         let vms = vms.max(1);
         let own = |rank| places / vms + usize::from(rank < places % vms);
         let rate = (limit.per_second() * UNPLACED_FRACTION).max(MIN_UNPLACED_RATE);
-        let interval = Duration::try_from_secs_f64(to_f64(vms) / rate);
+        let interval = Duration::try_from_secs_f64(count::to_f64(vms) / rate);
         Self {
             places: rank.map_or(0, own),
             unplaced_interval: interval.unwrap_or(Duration::MAX),
@@ -46,18 +47,7 @@
         if self.places == 0 {
             1.0 / self.unplaced_interval.as_secs_f64()
         } else {
-            to_f64(self.places) / held
+            count::to_f64(self.places) / held
         }
     }
 }
-
-/// The integer part of a number that is not negative.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
-fn floor(number: f64) -> usize {
-    number.max(0.0) as usize
-}
-
-#[allow(clippy::cast_precision_loss)] // numbers of VMs are small
-fn to_f64(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod choice;
 pub mod claim;
 pub mod cold;
+mod count;
 pub mod directory;
 pub mod dispatch;
 pub mod escalation;
--- a/crates/cloverpost-core/src/throttle/allotment.rs
+++ b/crates/cloverpost-core/src/throttle/allotment.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::count;
 use crate::throttle::{Options, Rate};
 
 /// Fraction of the requests that an upstream tolerates which is assigned to senders. The rest is
@@ -40,12 +41,12 @@
         let window = options.window + JITTER;
         let rate = rate.per_second().max(MIN_RATE);
         let tolerated = rate * options.overage * options.window.as_secs_f64() + options.slack;
-        let assigned = floor(tolerated * ASSIGNED_FRACTION);
-        let wanted = floor((rate * window.as_secs_f64()).ceil());
+        let assigned = count::floor(tolerated * ASSIGNED_FRACTION);
+        let wanted = count::floor((rate * window.as_secs_f64()).ceil());
         let per_window = wanted.div_ceil(vms.max(1)).clamp(1, assigned.max(1));
         let senders = (assigned / per_window).min(vms);
-        let interval = as_f64(senders) / rate;
-        let burst = floor(BURST.as_secs_f64() / interval);
+        let interval = count::to_f64(senders) / rate;
+        let burst = count::floor(BURST.as_secs_f64() / interval);
         Self {
             senders,
             per_window,
@@ -73,14 +74,3 @@
         (rank % vms + vms - first) % vms < in_turn
     }
 }
-
-/// The integer part of a number that is not negative.
-#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // saturates
-fn floor(number: f64) -> usize {
-    number.max(0.0) as usize
-}
-
-#[allow(clippy::cast_precision_loss)] // numbers of VMs are small
-fn as_f64(count: usize) -> f64 {
-    count as f64
-}
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -39,6 +39,7 @@
 pub mod settings;
 mod shared;
 mod slot;
+mod stated_limit;
 pub mod store;
 mod stream;
 mod tunnels;
--- a/crates/cloverpost/src/gateway/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/rate_limits.rs
@@ -4,8 +4,9 @@
 use cloverpost_core::{directory, time};
 
 use crate::gateway::Shared;
-use crate::gateway::codec::{Codec, StatedLimit};
+use crate::gateway::codec::Codec;
 use crate::gateway::job::Job;
+use crate::gateway::stated_limit;
 
 /// Counts and logs a send to `upstream` if it states a limit.
 pub fn record_send<C: Codec>(
@@ -36,19 +37,11 @@
     head: &http::response::Parts,
     is_rejection: bool,
 ) {
-    let id = job.head.id.as_str();
-    let stated = match shared.codec.stated_limit(head) {
-        StatedLimit::Absent if is_rejection => return,
-        StatedLimit::Absent => None,
-        StatedLimit::Rate(rate) => Some(rate),
-        StatedLimit::Malformed(value) => {
-            log::warn!(
-                id, upstream = upstream.id.as_str(), value;
-                "the upstream's rate limit cannot be read, what was known of it stays"
-            );
-            return;
-        }
+    let stated = shared.codec.stated_limit(head);
+    let Ok(stated) = stated_limit::read(job, upstream, stated, is_rejection) else {
+        return;
     };
+    let id = job.head.id.as_str();
     let now = shared.clock.now();
     let now_ms = shared.store_now_ms();
     let (change, count) = {
--- a/crates/cloverpost/src/gateway/rejection_limits.rs
+++ b/crates/cloverpost/src/gateway/rejection_limits.rs
@@ -4,8 +4,9 @@
 use cloverpost_core::{directory, time};
 
 use crate::gateway::Shared;
-use crate::gateway::codec::{Codec, StatedLimit};
+use crate::gateway::codec::Codec;
 use crate::gateway::job::Job;
+use crate::gateway::stated_limit;
 
 /// Records what `upstream` states in the head of a response to a request sent at `sent`. A rejection
 /// without a statement does not show its end.
@@ -53,18 +54,8 @@
     head: &http::response::Parts,
     is_rejection: bool,
 ) -> Option<Change> {
-    let stated = match shared.codec.stated_rejection_limit(head) {
-        StatedLimit::Absent if is_rejection => return None,
-        StatedLimit::Absent => None,
-        StatedLimit::Rate(rate) => Some(rate),
-        StatedLimit::Malformed(value) => {
-            log::warn!(
-                id = job.head.id.as_str(), upstream = upstream.id.as_str(), value;
-                "the upstream's rejection limit cannot be read, what was known of it stays"
-            );
-            return None;
-        }
-    };
+    let stated = shared.codec.stated_rejection_limit(head);
+    let stated = stated_limit::read(job, upstream, stated, is_rejection).ok()?;
     let now = shared.clock.now();
     let mut fragile = shared.fragile();
     let change = fragile.record_statement(&job.service, stated, sent, now);
