fix(cloverpost): a VM without a direct path waits longer for other VMs' word about a crash

A VM whose path to the upstream is broken has no check of its own, so 25 ms for the others' answers would only lose evidence.

--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -31,7 +31,8 @@
 const MAX_ASKED: usize = 6;
 /// Number of VMs that are asked whether an upstream is down.
 const WITNESSES: usize = 2;
-/// Timeout of their answers. A request that has lost its connection waits for them.
+/// Timeout of their answers if this VM has a direct path. A request that has lost its connection
+/// waits for them.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(25);
 /// Delay before the check of an upstream that closed a connection.
 const LOSS_CHECK_DELAY: Duration = Duration::from_millis(10);
@@ -315,8 +316,13 @@
         }
     }
     let is_refused_alone = async { !is_broken && is_refused_alone(shared, upstream).await };
-    let (is_refused_alone, answers) =
-        tokio::join!(is_refused_alone, ask_witnesses(shared, upstream));
+    let timeout = if is_broken {
+        TUNNEL_TIMEOUT
+    } else {
+        WITNESS_TIMEOUT
+    };
+    let answers = ask_witnesses(shared, upstream, timeout);
+    let (is_refused_alone, answers) = tokio::join!(is_refused_alone, answers);
     if answers.iter().any(Result::is_ok) {
         record_broken(shared, upstream, dial::Error::Refused);
         return Loss::Path;
@@ -335,13 +341,14 @@
 async fn ask_witnesses<C: Codec>(
     shared: &Shared<C>,
     upstream: &directory::Upstream,
+    timeout: Duration,
 ) -> Vec<Result<(Tunnel, Liveness), tunnel::Error>> {
     let peers = ranked_peers(shared);
     let witnesses = peers.iter().take(WITNESSES);
     let answers = witnesses.map(async |peer| {
         let answer = open_tunnel(shared, peer, upstream);
         let timed_out = tunnel::Error::Peer(crate::peer::Error::TimedOut);
-        let answer = tokio::time::timeout(WITNESS_TIMEOUT, answer).await;
+        let answer = tokio::time::timeout(timeout, answer).await;
         answer.unwrap_or(Err(timed_out))
     });
     futures_util::future::join_all(answers).await
