feat(cloverpost): the lines of a crash name the parts of the prompt, how far it ran and what was in flight

The logs of the incident could not tell a part that many requests share from upstreams that end by their load, nor a crash before the response from one amid it. 'upstream crashed under the request' now has the parts of the prompt that other requests may have, 'connection to the upstream lost' whether the request ran and how many requests of this VM are in flight there.

A request is known by its profile, the fingerprint and these parts, where a crash may be recorded. No decision changes.

--- a/crates/cloverpost-core/src/poison/given_up.rs
+++ b/crates/cloverpost-core/src/poison/given_up.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::directory::Upstream;
-use crate::poison::Fingerprint;
+use crate::poison::{Fingerprint, Profile};
 use crate::time;
 
 /// Attempts that a VM gave up lately, for a larger model, a timeout or because the caller left.
@@ -17,7 +17,7 @@
     capacity: usize,
     expiry: Duration,
     /// Attempts in order of time.
-    attempts: VecDeque<(time::Moment, Fingerprint, Arc<Upstream>)>,
+    attempts: VecDeque<(time::Moment, Profile, Arc<Upstream>)>,
 }
 
 impl GivenUp {
@@ -32,11 +32,11 @@
     }
 
     /// Records that an attempt on `upstream` was given up.
-    pub fn record(&mut self, fingerprint: Fingerprint, upstream: Arc<Upstream>, now: time::Moment) {
+    pub fn record(&mut self, profile: Profile, upstream: Arc<Upstream>, now: time::Moment) {
         if self.attempts.len() >= self.capacity {
             self.attempts.pop_front();
         }
-        self.attempts.push_back((now, fingerprint, upstream));
+        self.attempts.push_back((now, profile, upstream));
     }
 
     /// Removes the attempts of the request and returns the upstreams of those that count at `now`.
@@ -44,9 +44,10 @@
         let expiry = self.expiry;
         self.attempts.retain(|(at, ..)| now.since(*at) < expiry);
         let of_request = self.attempts.iter();
-        let of_request = of_request.filter(|(_, other, _)| other == fingerprint);
+        let of_request = of_request.filter(|(_, other, _)| other.request == *fingerprint);
         let upstreams = of_request.map(|(.., upstream)| upstream.clone()).collect();
-        self.attempts.retain(|(_, other, _)| other != fingerprint);
+        self.attempts
+            .retain(|(_, other, _)| other.request != *fingerprint);
         upstreams
     }
 }
--- /dev/null
+++ b/crates/cloverpost-core/src/poison/profile.rs
@@ -0,0 +1,23 @@
+//! What a request may have in common with others that crash upstreams.
+
+use std::sync::Arc;
+
+use crate::poison::{Fingerprint, Part};
+
+/// What a request may have in common with others that crash upstreams.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Profile {
+    /// Equal for copies of the request.
+    pub request: Fingerprint,
+    /// Parts of its prompt that other requests may have, in order.
+    pub parts: Arc<[Part]>,
+}
+
+impl Profile {
+    /// The parts, separated by commas.
+    #[must_use]
+    pub fn parts_text(&self) -> String {
+        let texts: Vec<_> = self.parts.iter().map(Part::to_string).collect();
+        texts.join(",")
+    }
+}
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -82,7 +82,7 @@
     options: AttemptOptions<'_>,
 ) -> Result<UpstreamResponse<C>, Failure> {
     let work = prefill_seconds(shared, job, options.model);
-    let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), job.fingerprint(), work);
+    let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), job.profile(), work);
     selection::count_send(shared, job, upstream);
     rate_limits::record_send(shared, job, upstream, options.kind());
     let sent = shared.clock.now();
@@ -186,9 +186,10 @@
 ) -> Failure {
     slot.end();
     let loss = crashes::record_lost(shared, job, &slot.upstream).await;
+    let in_flight = shared.balancer().in_flight(&slot.upstream.id);
     log::info!(
         id = job.head.id.as_str(), upstream = slot.upstream.id.as_str(),
-        via = connection.via().map_or("", id::Vm::as_str), loss:?;
+        via = connection.via().map_or("", id::Vm::as_str), loss:?, ran:% = failure.ran(), in_flight;
         "connection to the upstream lost"
     );
     match loss {
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -91,12 +91,17 @@
         self.tokens.map(|tokens| tokens.generated)
     }
 
-    /// Length of the prompt prefix that other requests may share, in tokens. The last
-    /// part belongs to this request only.
+    /// Parts of the prompt that other requests may share. The last part belongs to this request only.
     #[must_use]
-    pub fn shared_tokens(&self) -> u32 {
+    pub fn shared_parts(&self) -> &[PromptPart] {
         let shared = self.prompt.len().saturating_sub(1);
-        self.prompt[..shared].iter().map(|part| part.tokens).sum()
+        &self.prompt[..shared]
+    }
+
+    /// Length of the prompt prefix that other requests may share, in tokens.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 
     /// Affinity to upstreams that may have cached the longest shared prefix of the
--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -13,7 +13,7 @@
 
 use cloverpost_core::directory;
 use cloverpost_core::dispatch::{Dispatch, Failure};
-use cloverpost_core::poison::{Evidence, Fingerprint, GivenUp, Options, Status, Successes};
+use cloverpost_core::poison::{Evidence, GivenUp, Options, Profile, Status, Successes};
 use cloverpost_core::refusal::{Code, Refusal};
 
 use crate::gateway::Shared;
@@ -115,7 +115,7 @@
     upstream: &Arc<directory::Upstream>,
 ) -> Loss {
     let id = job.head.id.as_str().to_owned();
-    let check = check_lost(shared.clone(), id, job.fingerprint(), upstream.clone());
+    let check = check_lost(shared.clone(), id, job.profile(), upstream.clone());
     // After the timeout, the check goes on in the background. It does not panic.
     let checked = tokio::time::timeout(MAX_CHECK_WAIT, tokio::spawn(check)).await;
     match checked {
@@ -127,22 +127,22 @@
 /// Records that this VM gave up an attempt on `upstream` before it ended.
 pub fn record_given_up<C: Codec>(
     shared: &Arc<Shared<C>>,
-    fingerprint: Fingerprint,
+    profile: &Profile,
     upstream: &Arc<directory::Upstream>,
 ) {
     let now = shared.clock.now();
-    if shared.quarantine.is_empty() || shared.quarantine.status(&fingerprint, now) == Status::Clear
-    {
+    let is_clear = || shared.quarantine.status(&profile.request, now) == Status::Clear;
+    if shared.quarantine.is_empty() || is_clear() {
         let mut given_up = shared.given_up();
-        given_up.record(fingerprint, upstream.clone(), now);
+        given_up.record(profile.clone(), upstream.clone(), now);
         return;
     }
     // Attempts are also dropped as the runtime shuts down.
     if let Ok(runtime) = tokio::runtime::Handle::try_current() {
-        let (shared, upstream) = (shared.clone(), upstream.clone());
+        let (shared, profile, upstream) = (shared.clone(), profile.clone(), upstream.clone());
         runtime.spawn(async move {
             tokio::time::sleep(GIVEN_UP_CHECK_DELAY).await;
-            check_crash(&shared, "", fingerprint, &upstream).await;
+            check_crash(&shared, "", &profile, &upstream).await;
         });
     }
 }
@@ -151,16 +151,16 @@
 async fn check_lost<C: Codec>(
     shared: Arc<Shared<C>>,
     id: String,
-    fingerprint: Fingerprint,
+    profile: Profile,
     upstream: Arc<directory::Upstream>,
 ) -> Loss {
-    let loss = check_crash(&shared, &id, fingerprint, &upstream).await;
+    let loss = check_crash(&shared, &id, &profile, &upstream).await;
     if loss != Loss::Upstream {
         return loss;
     }
-    let given_up = shared.given_up().take(&fingerprint, shared.clock.now());
+    let given_up = shared.given_up().take(&profile.request, shared.clock.now());
     for upstream in given_up {
-        check_crash(&shared, &id, fingerprint, &upstream).await;
+        check_crash(&shared, &id, &profile, &upstream).await;
     }
     loss
 }
@@ -169,7 +169,7 @@
 async fn check_crash<C: Codec>(
     shared: &Arc<Shared<C>>,
     id: &str,
-    fingerprint: Fingerprint,
+    profile: &Profile,
     upstream: &Arc<directory::Upstream>,
 ) -> Loss {
     let loss = path::find_loss(shared, upstream).await;
@@ -177,8 +177,9 @@
         return loss;
     }
     let service = upstream.service.as_str();
+    let fingerprint = profile.request;
     log::info!(
-        id, upstream = upstream.id.as_str(), service, fingerprint:%;
+        id, upstream = upstream.id.as_str(), service, fingerprint:%, parts = profile.parts_text();
         "upstream crashed under the request"
     );
     shared.metrics.crashes.with_label_values(&[service]).inc();
--- a/crates/cloverpost/src/gateway/job.rs
+++ b/crates/cloverpost/src/gateway/job.rs
@@ -3,11 +3,14 @@
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
-use cloverpost_core::poison::Fingerprint;
+use cloverpost_core::poison::{Fingerprint, Part, Profile};
 use cloverpost_core::{directory, id, time};
 
 use crate::gateway::codec::RequestHead;
 
+/// Number of parts of a prompt that are considered, so that a caller cannot fill the tables of parts.
+const MAX_PARTS: usize = 64;
+
 /// An admitted request.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -56,4 +59,14 @@
         let of_call = || Fingerprint::of_call(self.organisation(), &path(), &self.body);
         *self.fingerprint.get_or_init(of_call)
     }
+
+    /// What the request may have in common with others that crash upstreams.
+    #[must_use]
+    pub fn profile(&self) -> Profile {
+        let parts = self.head.shared_parts().iter().take(MAX_PARTS);
+        Profile {
+            request: self.fingerprint(),
+            parts: parts.map(|part| Part::from(part.hash)).collect(),
+        }
+    }
 }
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use cloverpost_core::balance::{self, Event};
-use cloverpost_core::poison::Fingerprint;
+use cloverpost_core::poison::Profile;
 use cloverpost_core::{directory, id, time};
 
 use crate::gateway::Shared;
@@ -29,7 +29,7 @@
     work: f64,
     is_work_released: AtomicBool,
     /// The request that occupies the slot.
-    fingerprint: Fingerprint,
+    profile: Profile,
     /// Whether the upstream's part in the request is over.
     has_ended: AtomicBool,
 }
@@ -40,7 +40,7 @@
     pub fn acquire(
         shared: Arc<Shared<C>>,
         upstream: Arc<directory::Upstream>,
-        fingerprint: Fingerprint,
+        profile: Profile,
         work: f64,
     ) -> Self {
         let (was_idle, restarts) = {
@@ -56,7 +56,7 @@
             restarts,
             work,
             is_work_released: AtomicBool::new(false),
-            fingerprint,
+            profile,
             has_ended: AtomicBool::new(false),
         }
     }
@@ -120,7 +120,7 @@
             .fragile()
             .record_end(&self.upstream.service, held);
         if !self.has_ended.load(Ordering::Relaxed) {
-            crashes::record_given_up(&self.shared, self.fingerprint, &self.upstream);
+            crashes::record_given_up(&self.shared, &self.profile, &self.upstream);
         }
     }
 }
