fix(cloverpost): requests that share a part that crashes upstreams are stopped on all VMs

Callers saw most requests of a service fail: requests, no two alike, crashed one upstream after the other by a part of their prompts that they share.

Cause: evidence named one fixed identity, the whole request. Each such request met its own attempts at most and stayed under the threshold, and what was in flight beside it was quarantined in its place.

Evidence is now against features of requests, of which the whole request and a part of the prompt (not the last) are two. Four crashes with a part, of several requests, quarantine it on all VMs. Counting alone would quarantine the part that all requests share, so - a part with which a request succeeded on a VM in the last 10 s is no suspect there; a VM that is told of a quarantine of such a part dismisses it for all; - a single request that was in flight at all its crashes accounts for it, and another part up to five crashes; crashes at which a suspected part was in flight do not count against single requests; - a request that is to be rejected waits until the news has settled, 500 ms for a part. Watchers confirm what they repeat; after that the crashes of other bad parts do not excuse it. Jobs that share a marked part go to one upstream, so that the others survive.

--- a/crates/cloverpost-bench/src/slopes/probe/quarantine.rs
+++ b/crates/cloverpost-bench/src/slopes/probe/quarantine.rs
@@ -17,11 +17,12 @@
     let body = index.to_be_bytes();
     let mut rng = fixture::rng();
     Fact::Mark(Mark {
-        fingerprint: Fingerprint::of(&fixture::organisation(index % 100), &body),
+        feature: Fingerprint::of(&fixture::organisation(index % 100), &body).into(),
         evidence: Evidence {
             request: id::Request::random(&mut rng),
             upstream: fixture::vm(index),
         },
+        is_confirmed: false,
         remaining: Duration::from_mins(5),
     })
 }
--- a/crates/cloverpost-core/src/id/text.rs
+++ b/crates/cloverpost-core/src/id/text.rs
@@ -100,6 +100,12 @@
             }
         }
 
+        impl From<u128> for $name {
+            fn from(number: u128) -> Self {
+                Self(number)
+            }
+        }
+
         impl std::fmt::Display for $name {
             fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
                 write!(f, "{:032x}", self.0)
--- a/crates/cloverpost-core/src/poison/evidence.rs
+++ b/crates/cloverpost-core/src/poison/evidence.rs
@@ -1,5 +1,6 @@
-//! Evidence against a request.
+//! Evidence against a feature of requests.
 
+use crate::poison::Fingerprint;
 use crate::{directory, id};
 
 /// A request that was in flight on an upstream when the upstream crashed.
@@ -20,22 +21,37 @@
     ///
     /// One crash ends the attempts of many requests. Copies of one request among them, as of a
     /// frequently requested document, must not count as several crashes.
-    ///
-    /// # Panics
-    ///
-    /// Never: ids of upstreams and VMs have the same form.
     #[must_use]
     pub fn of_process(upstream: &directory::Upstream) -> Self {
-        let id = upstream.id.as_str();
-        let process = upstream.born_ms.map(|born_ms| format!("{id}.{born_ms}"));
-        // An id that leaves no space for the start time is used alone.
-        let name = process.and_then(|name| name.parse().ok());
         Self {
             request: id::Request::NIL,
-            upstream: name.unwrap_or_else(|| {
-                id.parse()
-                    .expect("ids of upstreams and VMs have the same form")
-            }),
+            upstream: name(upstream),
         }
     }
+
+    /// The crash of a registered upstream, which tells the requests apart that were in flight there.
+    #[must_use]
+    pub fn of_request(upstream: &directory::Upstream, request: &Fingerprint) -> Self {
+        Self {
+            request: Self::request(request),
+            upstream: name(upstream),
+        }
+    }
+
+    /// How evidence that tells requests apart names `request`.
+    pub(super) fn request(request: &Fingerprint) -> id::Request {
+        id::Request::from(u128::from(request.prefix()))
+    }
+}
+
+/// Name of the process of `upstream`.
+fn name(upstream: &directory::Upstream) -> id::Vm {
+    let id = upstream.id.as_str();
+    let process = upstream.born_ms.map(|born_ms| format!("{id}.{born_ms}"));
+    // An id that leaves no space for the start time is used alone.
+    let name = process.and_then(|name| name.parse().ok());
+    name.unwrap_or_else(|| {
+        id.parse()
+            .expect("ids of upstreams and VMs have the same form")
+    })
 }
--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -1,32 +1,93 @@
-//! Which request is the cause of a crash.
+//! Which feature is the cause of a crash.
 //!
-//! A crash ends all requests that are in flight on the upstream, and has one cause among them. A
-//! request that meets the crashes of poison requests again and again looks like one, but all its
-//! crashes are also evidence against others, which have more.
+//! A crash ends all requests that are in flight on the upstream, and has one cause among their
+//! features. A request that meets the crashes of poison requests again and again looks like one, but
+//! all its crashes are also evidence against others, which have more.
 //!
 //! Of two requests that have just reached the threshold, either may be the cause. They excuse each
 //! other until one more crash decides between them. Above the threshold only a request that was
 //! there at each of the crashes, and at others, is an excuse; otherwise poison requests that come at
 //! the same time would never be stopped.
+//!
+//! A part of prompts is suspected once several requests that have it met several crashes. Crashes at
+//! which a suspected part was in flight do not count against single requests. A part that one
+//! request accounts for is not quarantined, and one that another suspected part accounts for only
+//! after one more crash: bad parts that come at the same time excuse each other as well. Once a
+//! quarantine is confirmed, no other part excuses it: none of its requests run any more, so that
+//! later crashes say nothing of it. Of two parts that are always in the same requests both are
+//! quarantined, of a request and its part only the request.
 
 use std::collections::BTreeSet;
 
+use crate::id;
 use crate::poison::record::Record;
-use crate::poison::{Action, Fact, Fingerprint, Register, Status};
+use crate::poison::{Action, Evidence, Fact, Feature, Register, Status};
 use crate::time;
 
+/// Least number of requests, and of crashes, after which a part is suspected.
+const MIN_PART_REQUESTS: usize = 2;
+/// Number of crashes above the threshold from which no other part excuses a part.
+const MAX_EXCUSED_CRASHES: usize = 1;
+
 impl Register {
-    /// Whether other requests explain the crashes of `record`.
+    /// Whether a feature with the live evidence of `record` may be the cause of crashes.
+    pub(super) fn is_suspect(&self, feature: &Feature, record: &Record) -> bool {
+        match feature {
+            Feature::Request(_) => record.live.len() >= self.options.threshold,
+            Feature::Part(_) => {
+                record.requests().len() >= MIN_PART_REQUESTS
+                    && record.upstreams().len() >= MIN_PART_REQUESTS
+            }
+        }
+    }
+
+    /// Whether a feature with the live evidence of `record` is quarantined if nothing else explains it.
+    pub(super) fn is_over_threshold(&self, feature: &Feature, record: &Record) -> bool {
+        self.is_suspect(feature, record)
+            && match feature {
+                Feature::Request(_) => true,
+                Feature::Part(_) => record.upstreams().len() >= self.options.part_threshold,
+            }
+    }
+
+    /// Whether other features explain the crashes of `record`.
     pub(super) fn is_explained(
         &self,
-        fingerprint: &Fingerprint,
+        feature: &Feature,
+        record: &Record,
+        now: time::Moment,
+    ) -> bool {
+        match feature {
+            Feature::Request(_) => {
+                self.is_explained_by_parts(record, now)
+                    || self.is_explained_by_requests(feature, record, now)
+            }
+            Feature::Part(_) => self.is_part_explained(feature, record, now),
+        }
+    }
+
+    /// Other features that may be the cause of crashes.
+    fn other_suspects(
+        &self,
+        feature: &Feature,
+        now: time::Moment,
+    ) -> impl Iterator<Item = (&Feature, &Record)> {
+        let others = self.suspects.iter().filter(move |other| *other != feature);
+        let others = others.filter_map(|other| self.records.get_key_value(other));
+        others.filter(move |(_, other)| other.live_len(now) > 0)
+    }
+
+    fn is_explained_by_requests(
+        &self,
+        feature: &Feature,
         record: &Record,
         now: time::Moment,
     ) -> bool {
         let threshold = self.options.threshold;
         let len = record.live_len(now);
-        let others = self.suspects.iter().filter(|other| *other != fingerprint);
-        let others = others.filter_map(|other| self.records.get(other));
+        let others = self.other_suspects(feature, now);
+        let others = others.filter(|(other, _)| matches!(other, Feature::Request(_)));
+        let others = others.map(|(_, other)| other);
         if len > threshold {
             let mut stronger = others.filter(|other| other.live_len(now) > len);
             return stronger.any(|other| other.live.is_superset(&record.live));
@@ -36,24 +97,79 @@
         record.live.iter().filter(is_unexplained).count() < threshold
     }
 
-    /// The quarantined requests.
-    pub(super) fn quarantined(&self, now: time::Moment) -> BTreeSet<Fingerprint> {
+    /// Whether suspected parts were in flight at all but a few of the crashes of a request.
+    fn is_explained_by_parts(&self, record: &Record, now: time::Moment) -> bool {
+        let parts = self.suspected_parts(now);
+        let explained: BTreeSet<_> = parts.flat_map(Record::upstreams).collect();
+        let is_unexplained = |crash: &&Evidence| !explained.contains(&crash.upstream);
+        record.live.iter().filter(is_unexplained).count() < self.options.threshold
+    }
+
+    /// Suspected parts, but for those of which a single request accounts for all crashes.
+    fn suspected_parts(&self, now: time::Moment) -> impl Iterator<Item = &Record> {
+        let parts = self.suspects.iter().rev();
+        let parts = parts.take_while(|feature| matches!(feature, Feature::Part(_)));
+        let parts = parts.filter_map(|part| self.records.get(part));
+        let parts = parts.filter(move |part| part.live_len(now) > 0);
+        parts.filter(move |part| !self.is_of_one_request(part, now))
+    }
+
+    /// Whether one of the requests with a part was in flight at all its crashes.
+    fn is_of_one_request(&self, part: &Record, now: time::Moment) -> bool {
+        let (requests, upstreams) = (part.requests(), part.upstreams());
+        let suspects = self.suspects.iter();
+        let mut suspects = suspects.filter_map(|feature| match feature {
+            Feature::Request(fingerprint) => Some((fingerprint, self.records.get(feature)?)),
+            Feature::Part(_) => None,
+        });
+        suspects.any(|(fingerprint, record)| {
+            record.live_len(now) > 0
+                && requests.contains(&Evidence::request(fingerprint))
+                && record.upstreams().is_superset(&upstreams)
+        })
+    }
+
+    fn is_part_explained(&self, part: &Feature, record: &Record, now: time::Moment) -> bool {
+        let upstreams = record.upstreams();
+        let max_excused = self.options.part_threshold + MAX_EXCUSED_CRASHES;
+        let is_excusable = !record.is_confirmed && upstreams.len() < max_excused;
+        let covers = |other: &Record| other.upstreams().is_superset(&upstreams);
+        let mut others = self.other_suspects(part, now);
+        others.any(|(feature, other)| match feature {
+            Feature::Request(_) => covers(other),
+            Feature::Part(_) => is_excusable && other.live != record.live && covers(other),
+        })
+    }
+
+    /// The quarantined features.
+    pub(super) fn quarantined(&self, now: time::Moment) -> BTreeSet<Feature> {
         let suspects = self.suspects.iter().copied();
         suspects
-            .filter(|fingerprint| self.status(fingerprint, now) == Status::Quarantined)
+            .filter(|feature| self.status(feature, now) == Status::Quarantined)
             .collect()
     }
 
-    /// All facts about quarantined requests that are in effect.
+    /// Confirms the quarantine of a part, if it is in effect: all VMs have had time to tell of the
+    /// crashes. Facts of it are confirmed from now on.
+    pub fn confirm(&mut self, feature: &Feature, now: time::Moment) {
+        let is_quarantined = self.status(feature, now) == Status::Quarantined;
+        if is_quarantined
+            && matches!(feature, Feature::Part(_))
+            && let Some(record) = self.records.get_mut(feature)
+        {
+            record.is_confirmed = true;
+        }
+    }
+
+    /// All facts about quarantined features that are in effect.
     pub fn quarantined_facts(&self, now: time::Moment) -> impl Iterator<Item = Fact> {
         let quarantined = self.quarantined(now).into_iter();
-        quarantined
-            .flat_map(move |fingerprint| self.facts_of(&fingerprint, now).collect::<Vec<_>>())
+        quarantined.flat_map(move |feature| self.facts_of(&feature, now).collect::<Vec<_>>())
     }
 
-    /// Requests that were quarantined or released by a change to `changed`. Only changes to suspects
+    /// Features that were quarantined or released by a change to `changed`. Only changes to suspects
     /// matter, so that marks of many other requests cost little.
-    pub(super) fn changes_by(&mut self, changed: &Fingerprint, now: time::Moment) -> Vec<Action> {
+    pub(super) fn changes_by(&mut self, changed: &Feature, now: time::Moment) -> Vec<Action> {
         let was_quarantined = self.last_quarantined.contains(changed);
         if !was_quarantined && !self.suspects.contains(changed) {
             return Vec::new();
@@ -66,3 +182,17 @@
         quarantined.chain(released).collect()
     }
 }
+
+impl Record {
+    /// Upstreams of the live evidence.
+    pub(super) fn upstreams(&self) -> BTreeSet<&id::Vm> {
+        let evidence = self.live.iter();
+        evidence.map(|evidence| &evidence.upstream).collect()
+    }
+
+    /// Requests of the live evidence.
+    pub(super) fn requests(&self) -> BTreeSet<id::Request> {
+        let evidence = self.live.iter();
+        evidence.map(|evidence| evidence.request).collect()
+    }
+}
--- a/crates/cloverpost-core/src/poison/fact.rs
+++ b/crates/cloverpost-core/src/poison/fact.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::poison::{Evidence, Fingerprint};
+use crate::poison::{Evidence, Feature};
 
 /// An update that is replicated to every VM.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,10 +18,12 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Mark {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
+    /// What the evidence is against.
+    pub feature: Feature,
     /// The crash.
     pub evidence: Evidence,
+    /// Whether the sender has confirmed the quarantine of the feature.
+    pub is_confirmed: bool,
     /// Time until it expires. A duration, because the clocks of VMs are not
     /// compared.
     pub remaining: Duration,
@@ -31,8 +33,8 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Lift {
-    /// The request's fingerprint.
-    pub fingerprint: Fingerprint,
+    /// What the evidence is against.
+    pub feature: Feature,
     /// The crashes that no longer count.
     pub evidence: Vec<Evidence>,
 }
--- a/crates/cloverpost-core/src/poison/merge.rs
+++ b/crates/cloverpost-core/src/poison/merge.rs
@@ -17,25 +17,29 @@
     fn merge_mark(&mut self, mark: Mark, now: time::Moment) -> Vec<Action> {
         let capacity = self.options.capacity;
         let expires_at = now + mark.remaining.min(self.options.expiry);
-        let was_quarantined = self.last_quarantined.contains(&mark.fingerprint);
-        let is_added = self.change(mark.fingerprint, now, |record| {
-            record.len() < capacity && record.add(mark.evidence, expires_at)
+        let was_quarantined = self.last_quarantined.contains(&mark.feature);
+        let is_changed = self.change(mark.feature, now, |record| {
+            let is_added = record.len() < capacity && record.add(mark.evidence, expires_at);
+            let is_newly_confirmed =
+                mark.is_confirmed && !record.live.is_empty() && !record.is_confirmed;
+            record.is_confirmed |= is_newly_confirmed;
+            is_added || is_newly_confirmed
         });
-        if !is_added {
+        if !is_changed {
             return Vec::new();
         }
-        let confirmed = was_quarantined.then_some(Action::Confirmed(mark.fingerprint));
-        let changes = self.changes_by(&mark.fingerprint, now);
+        let confirmed = was_quarantined.then_some(Action::Confirmed(mark.feature));
+        let changes = self.changes_by(&mark.feature, now);
         confirmed.into_iter().chain(changes).collect()
     }
 
     pub(super) fn merge_lift(&mut self, lift: Lift, now: time::Moment) -> Vec<Action> {
-        self.change(lift.fingerprint, now, |record| {
+        self.change(lift.feature, now, |record| {
             for evidence in lift.evidence {
                 record.lift(evidence);
             }
             record.expires_at = record.expires_at.max(now);
         });
-        self.changes_by(&lift.fingerprint, now)
+        self.changes_by(&lift.feature, now)
     }
 }
--- a/crates/cloverpost-core/src/poison/mod.rs
+++ b/crates/cloverpost-core/src/poison/mod.rs
@@ -1,12 +1,13 @@
 //! Quarantine of requests that crash the upstreams that run them.
 //!
-//! A request in flight on an upstream that crashed leaves [`Evidence`] under its
-//! [`Fingerprint`]. One piece of evidence only marks the request, since the crash
-//! may have been caused by another request on the same upstream. Several pieces from
-//! different requests or upstreams quarantine it, whichever VMs reported them.
+//! The cause of a crash is a [`Feature`] of the requests in flight on the upstream: one request, known
+//! by its [`Fingerprint`], or a [`Part`] of prompts that many requests share. Each leaves
+//! [`Evidence`] under its features. One piece of evidence only marks a feature, since the crash
+//! may have another cause. Several pieces from different requests or upstreams quarantine it,
+//! whichever VMs reported them.
 //!
-//! Requests that are in flight at the crashes of others gather evidence as well. Where other
-//! requests explain it, they are not quarantined.
+//! What is in flight at crashes with other causes gathers evidence as well. Where other features
+//! explain it, it is not quarantined.
 //!
 //! Each VM keeps a [`Register`]. Evidence is replicated as [`Fact`]s, and each VM
 //! counts it independently. Facts may be duplicated, delayed and reordered: a
@@ -20,6 +21,7 @@
 mod evidence;
 mod explanation;
 mod fact;
+mod feature;
 mod fingerprint;
 mod given_up;
 mod lift;
@@ -33,6 +35,7 @@
 
 pub use evidence::Evidence;
 pub use fact::{Fact, Lift, Mark};
+pub use feature::Feature;
 pub use fingerprint::{Fingerprint, ParseFingerprint};
 pub use given_up::GivenUp;
 pub use part::Part;
--- a/crates/cloverpost-core/src/poison/part.rs
+++ b/crates/cloverpost-core/src/poison/part.rs
@@ -16,6 +16,14 @@
     }
 }
 
+impl Part {
+    /// Hash of the content.
+    #[must_use]
+    pub const fn hash(self) -> u64 {
+        self.0
+    }
+}
+
 impl fmt::Display for Part {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:x}", self.0)
--- a/crates/cloverpost-core/src/poison/profile.rs
+++ b/crates/cloverpost-core/src/poison/profile.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::poison::{Fingerprint, Part};
+use crate::poison::{Feature, Fingerprint, Part};
 
 /// What a request may have in common with others that crash upstreams.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +14,12 @@
 }
 
 impl Profile {
+    /// All features of the request, the narrowest first.
+    pub fn features(&self) -> impl Iterator<Item = Feature> {
+        let parts = self.parts.iter().copied().map(Feature::Part);
+        std::iter::once(Feature::Request(self.request)).chain(parts)
+    }
+
     /// The parts, separated by commas.
     #[must_use]
     pub fn parts_text(&self) -> String {
--- a/crates/cloverpost-core/src/poison/record.rs
+++ b/crates/cloverpost-core/src/poison/record.rs
@@ -1,11 +1,11 @@
-//! The evidence against one fingerprint.
+//! The evidence against one feature.
 
 use std::collections::BTreeSet;
 
 use crate::poison::Evidence;
 use crate::time;
 
-/// The evidence against one fingerprint, by state.
+/// The evidence against one feature, by state.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Record {
     /// Evidence that counts until `expires_at`.
@@ -15,6 +15,8 @@
     pub(super) expired: BTreeSet<Evidence>,
     /// Evidence dismissed by an operator, whether it was known here before or not.
     pub(super) lifted: BTreeSet<Evidence>,
+    /// Whether a VM has confirmed the quarantine.
+    pub(super) is_confirmed: bool,
     /// When the live evidence expires.
     pub(super) expires_at: time::Moment,
     /// Last change, for eviction.
@@ -39,6 +41,7 @@
     /// Moves the live evidence to the expired once `expires_at` has passed.
     pub(super) fn expire(&mut self, now: time::Moment) {
         if now >= self.expires_at {
+            self.is_confirmed = false;
             self.expired.append(&mut self.live);
         }
     }
@@ -56,6 +59,7 @@
 
     /// Dismisses `evidence`, whether or not it is known yet.
     pub(super) fn lift(&mut self, evidence: Evidence) {
+        self.is_confirmed = false;
         self.live.remove(&evidence);
         self.expired.remove(&evidence);
         self.lifted.insert(evidence);
--- a/crates/cloverpost-core/src/poison/successes.rs
+++ b/crates/cloverpost-core/src/poison/successes.rs
@@ -5,6 +5,10 @@
 
 use crate::time;
 
+/// A success is recorded again after this part of its lifetime, as a divisor, so that frequent ones do
+/// not displace the others.
+const REFRESHES: u32 = 32;
+
 /// Requests that succeeded on this VM lately.
 ///
 /// A request that crashes every upstream that runs it never succeeds. One that is sent often is in
@@ -32,6 +36,10 @@
 
     /// Records a success of the requests with hash `key`.
     pub fn record(&mut self, key: u64, now: time::Moment) {
+        let last = self.last.get(&key);
+        if last.is_some_and(|at| now.since(*at) < self.expiry / REFRESHES) {
+            return;
+        }
         self.last.insert(key, now);
         self.order.push_back((now, key));
         while self.order.len() > self.capacity {
--- a/crates/cloverpost-core/tests/behaviour/poison/explained.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/explained.rs
@@ -3,13 +3,14 @@
 use cloverpost_core::poison::{Action, Evidence, Fact, Mark, Options, Register, Status};
 use cloverpost_core::{id, time};
 
-use crate::poison::{EXPIRY, at, fingerprint};
+use crate::poison::{EXPIRY, at, feature, fingerprint};
 
 /// Options of the gateway.
 const OPTIONS: Options = Options {
     expiry: EXPIRY,
     capacity: 64,
     threshold: 3,
+    part_threshold: 4,
 };
 
 /// The crash of a process, equal for all requests that were in flight there.
@@ -23,8 +24,9 @@
 fn mark(register: &mut Register, request: u8, crashes: &[u8], now: time::Moment) -> Vec<Action> {
     let facts = crashes.iter().map(|number| {
         Fact::Mark(Mark {
-            fingerprint: fingerprint(request),
+            feature: feature(request),
             evidence: process(*number),
+            is_confirmed: false,
             remaining: EXPIRY,
         })
     });
@@ -36,7 +38,7 @@
 }
 
 fn status(register: &Register, request: u8) -> Status {
-    register.status(&fingerprint(request), at(1))
+    register.status(&feature(request), at(1))
 }
 
 // Guards against rejecting a request that was in flight as a poison request crashed its upstreams.
@@ -48,8 +50,8 @@
     let actions = mark(&mut vm, 2, &[1, 2, 3, 4], at(0));
     assert_eq!(status(&vm, 1), Status::Marked);
     assert_eq!(status(&vm, 2), Status::Quarantined);
-    assert!(actions.contains(&Action::Released(fingerprint(1))));
-    assert!(actions.contains(&Action::Quarantined(fingerprint(2))));
+    assert!(actions.contains(&Action::Released(feature(1))));
+    assert!(actions.contains(&Action::Quarantined(feature(2))));
 }
 
 // Guards against rejecting a request that met the crashes of several poison requests.
@@ -109,7 +111,7 @@
     mark(&mut vm, 2, &[1, 2, 3, 4], at(0));
     let actions = vm.lift(fingerprint(2), at(1));
     assert_eq!(status(&vm, 1), Status::Quarantined);
-    assert!(actions.contains(&Action::Quarantined(fingerprint(1))));
+    assert!(actions.contains(&Action::Quarantined(feature(1))));
 }
 
 // Guards against forgetting a quarantine when the loss of many upstreams marks many requests.
--- a/crates/cloverpost-core/tests/behaviour/poison/merge.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/merge.rs
@@ -5,20 +5,21 @@
 use proptest::sample::Index;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-use crate::poison::{EXPIRY, at, crash, fingerprint, register};
+use crate::poison::{EXPIRY, at, crash, feature, register};
 
 fn facts() -> impl Strategy<Value = Vec<Fact>> {
     let mark = (0..3_u8, 0..3_u8, 0..3_u8).prop_map(|(number, request, upstream)| {
         Fact::Mark(Mark {
-            fingerprint: fingerprint(number),
+            feature: feature(number),
             evidence: crash(request, upstream),
+            is_confirmed: false,
             remaining: EXPIRY,
         })
     });
     let lift =
         (0..3_u8, prop::collection::vec((0..3_u8, 0..3_u8), 0..4)).prop_map(|(number, crashes)| {
             Fact::Lift(Lift {
-                fingerprint: fingerprint(number),
+                feature: feature(number),
                 evidence: crashes.into_iter().map(|(r, u)| crash(r, u)).collect(),
             })
         });
@@ -34,7 +35,7 @@
 }
 
 fn state(register: &Register) -> (Vec<Fact>, Vec<Status>) {
-    let statuses = (0..3).map(|number| register.status(&fingerprint(number), at(1)));
+    let statuses = (0..3).map(|number| register.status(&feature(number), at(1)));
     (register.facts(at(1)).collect(), statuses.collect())
 }
 
--- a/crates/cloverpost-core/tests/behaviour/poison/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/mod.rs
@@ -3,12 +3,13 @@
 mod explained;
 mod given_up;
 mod merge;
+mod parts;
 mod quarantine;
 mod successes;
 
 use std::time::Duration;
 
-use cloverpost_core::poison::{Action, Evidence, Fact, Fingerprint, Options, Register};
+use cloverpost_core::poison::{Action, Evidence, Fact, Feature, Fingerprint, Options, Register};
 use cloverpost_core::time;
 
 const EXPIRY: Duration = Duration::from_mins(1);
@@ -29,6 +30,10 @@
     Fingerprint::of(&organisation, &[number])
 }
 
+fn feature(number: u8) -> Feature {
+    fingerprint(number).into()
+}
+
 fn crash(request: u8, upstream: u8) -> Evidence {
     Evidence {
         request: format!("{request:x}").parse().expect("valid request id"),
--- a/crates/cloverpost-core/tests/behaviour/poison/quarantine.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/quarantine.rs
@@ -6,7 +6,7 @@
 use cloverpost_core::poison::{Action, Evidence, Fingerprint, Options, Register, Status};
 use rstest::rstest;
 
-use crate::poison::{EXPIRY, at, broadcast_facts, crash, fingerprint, register};
+use crate::poison::{EXPIRY, at, broadcast_facts, crash, feature, fingerprint, register};
 
 // One crash may have an unrelated cause, so the retry must still run.
 #[test]
@@ -14,8 +14,8 @@
     let mut vm = register();
     let facts = broadcast_facts(vm.record_crash(fingerprint(1), crash(1, 1), at(0)));
     assert_eq!(facts.len(), 1);
-    assert_eq!(vm.status(&fingerprint(1), at(1)), Status::Marked);
-    assert_eq!(vm.status(&fingerprint(2), at(1)), Status::Clear);
+    assert_eq!(vm.status(&feature(1), at(1)), Status::Marked);
+    assert_eq!(vm.status(&feature(2), at(1)), Status::Clear);
 }
 
 // A request that crashes its upstreams is retried, or resent under a new request
@@ -29,13 +29,13 @@
         two.merge(fact, at(0));
     }
     let actions = two.record_crash(fingerprint(1), second, at(1));
-    assert!(actions.contains(&Action::Quarantined(fingerprint(1))));
+    assert!(actions.contains(&Action::Quarantined(feature(1))));
     for fact in broadcast_facts(actions) {
         one.merge(fact.clone(), at(1));
         three.merge(fact, at(1));
     }
     for vm in [&one, &two, &three] {
-        assert_eq!(vm.status(&fingerprint(1), at(2)), Status::Quarantined);
+        assert_eq!(vm.status(&feature(1), at(2)), Status::Quarantined);
     }
 }
 
@@ -47,16 +47,16 @@
     vm.record_crash(fingerprint(1), crash(1, 1), at(0));
     let again = vm.record_crash(fingerprint(1), crash(1, 1), at(1));
     assert!(again.is_empty());
-    assert_eq!(vm.status(&fingerprint(1), at(2)), Status::Marked);
+    assert_eq!(vm.status(&feature(1), at(2)), Status::Marked);
 }
 
 #[test]
 fn a_crash_after_the_mark_has_expired_counts_as_the_first() {
     let mut vm = register();
     vm.record_crash(fingerprint(1), crash(1, 1), at(0));
-    assert_eq!(vm.status(&fingerprint(1), at(60)), Status::Clear);
+    assert_eq!(vm.status(&feature(1), at(60)), Status::Clear);
     vm.record_crash(fingerprint(1), crash(2, 2), at(61));
-    assert_eq!(vm.status(&fingerprint(1), at(62)), Status::Marked);
+    assert_eq!(vm.status(&feature(1), at(62)), Status::Marked);
 }
 
 // A quarantine expires on one VM before its peer, whose next digest still carries
@@ -77,8 +77,8 @@
         two.prune(at(second + 1));
     }
     let end = at(62);
-    assert_eq!(one.status(&fingerprint(1), end), Status::Clear);
-    assert_eq!(two.status(&fingerprint(1), end), Status::Clear);
+    assert_eq!(one.status(&feature(1), end), Status::Clear);
+    assert_eq!(two.status(&feature(1), end), Status::Clear);
     assert!(one.is_empty() && two.is_empty());
 }
 
@@ -94,9 +94,9 @@
             fresh.merge(fact, at(second));
         }
         vm = fresh;
-        assert_eq!(vm.status(&fingerprint(1), at(second)), Status::Quarantined);
+        assert_eq!(vm.status(&feature(1), at(second)), Status::Quarantined);
     }
-    assert_eq!(vm.status(&fingerprint(1), at(60)), Status::Clear);
+    assert_eq!(vm.status(&feature(1), at(60)), Status::Clear);
 }
 
 // A peer that missed a lift still sends its marks. They must not undo the lift, and
@@ -109,15 +109,15 @@
         two.merge(fact, at(0));
     }
     let actions = one.lift(fingerprint(1), at(1));
-    assert!(actions.contains(&Action::Released(fingerprint(1))));
+    assert!(actions.contains(&Action::Released(feature(1))));
     for fact in two.facts(at(2)).collect::<Vec<_>>() {
         one.merge(fact, at(2));
     }
-    assert_eq!(one.status(&fingerprint(1), at(2)), Status::Clear);
+    assert_eq!(one.status(&feature(1), at(2)), Status::Clear);
     for fact in one.facts(at(3)).collect::<Vec<_>>() {
         two.merge(fact, at(3));
     }
-    assert_eq!(two.status(&fingerprint(1), at(3)), Status::Clear);
+    assert_eq!(two.status(&feature(1), at(3)), Status::Clear);
 }
 
 #[test]
@@ -128,9 +128,9 @@
     }
     vm.lift(fingerprint(1), at(1));
     vm.record_crash(fingerprint(1), crash(3, 3), at(2));
-    assert_eq!(vm.status(&fingerprint(1), at(3)), Status::Marked);
+    assert_eq!(vm.status(&feature(1), at(3)), Status::Marked);
     vm.record_crash(fingerprint(1), crash(4, 4), at(4));
-    assert_eq!(vm.status(&fingerprint(1), at(5)), Status::Quarantined);
+    assert_eq!(vm.status(&feature(1), at(5)), Status::Quarantined);
 }
 
 #[test]
@@ -139,6 +139,7 @@
         threshold: 2,
         expiry: EXPIRY,
         capacity: 8,
+        ..Options::default()
     });
     for number in 0..100 {
         vm.record_crash(
@@ -148,8 +149,8 @@
         );
         assert!(vm.len() <= 8);
     }
-    assert_eq!(vm.status(&fingerprint(99), at(10)), Status::Marked);
-    assert_eq!(vm.status(&fingerprint(0), at(10)), Status::Clear);
+    assert_eq!(vm.status(&feature(99), at(10)), Status::Marked);
+    assert_eq!(vm.status(&feature(0), at(10)), Status::Clear);
 }
 
 #[test]
@@ -169,13 +170,13 @@
     for second in 0..4 {
         vm.record_crash(fingerprint(1), Evidence::of_process(&crashed), at(second));
     }
-    assert_eq!(vm.status(&fingerprint(1), at(4)), Status::Marked);
+    assert_eq!(vm.status(&feature(1), at(4)), Status::Marked);
     let restarted = Upstream {
         born_ms: Some(7),
         ..crashed
     };
     vm.record_crash(fingerprint(1), Evidence::of_process(&restarted), at(4));
-    assert_eq!(vm.status(&fingerprint(1), at(5)), Status::Quarantined);
+    assert_eq!(vm.status(&feature(1), at(5)), Status::Quarantined);
 }
 
 #[test]
@@ -186,13 +187,13 @@
         ..Options::default()
     });
     for number in 1..=3 {
-        assert_eq!(vm.remaining(&fingerprint(1), at(0)), None);
+        assert_eq!(vm.remaining(&feature(1), at(0)), None);
         vm.record_crash(fingerprint(1), crash(number, number), at(0));
     }
-    let remaining = vm.remaining(&fingerprint(1), at(1));
+    let remaining = vm.remaining(&feature(1), at(1));
     assert_eq!(remaining, EXPIRY.checked_sub(Duration::from_secs(1)));
-    assert_eq!(vm.facts_of(&fingerprint(1), at(1)).count(), 3);
-    assert_eq!(vm.facts_of(&fingerprint(2), at(1)).count(), 0);
+    assert_eq!(vm.facts_of(&feature(1), at(1)).count(), 3);
+    assert_eq!(vm.facts_of(&feature(2), at(1)).count(), 0);
 }
 
 #[test]
--- a/crates/cloverpost/src/front/execute.rs
+++ b/crates/cloverpost/src/front/execute.rs
@@ -103,7 +103,7 @@
             };
             state
                 .quarantine
-                .record_crash(job.fingerprint, evidence, now)
+                .record_crash(vec![(job.fingerprint.into(), evidence)], now)
                 .await;
         }
         let within_budget = || state.budget().try_take_retry(&job.entry.class, now);
@@ -126,7 +126,7 @@
 fn refuse_quarantined(state: &State, job: &Job, dispatch: &Dispatch) -> Result<(), Refusal> {
     if state
         .quarantine
-        .is_quarantined(&job.fingerprint, state.clock.now())
+        .is_quarantined(job.fingerprint, state.clock.now())
     {
         let reason = "this request has crashed the upstreams that ran it";
         return Err(dispatch.refusal(Code::Quarantined, reason));
--- a/crates/cloverpost/src/front/relay.rs
+++ b/crates/cloverpost/src/front/relay.rs
@@ -147,7 +147,7 @@
         let now = state.clock.now();
         state
             .quarantine
-            .record_crash(job.fingerprint, evidence, now)
+            .record_crash(vec![(job.fingerprint.into(), evidence)], now)
             .await;
     }
 }
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::Member;
-use cloverpost_core::poison::{Fact, Fingerprint};
+use cloverpost_core::poison::{Fact, Feature};
 use cloverpost_core::time;
 use cloverpost_wire::Message;
 use ractor::ActorRef;
@@ -28,6 +28,7 @@
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
 use crate::gateway::control::peers::target;
+use crate::gateway::crashes;
 use crate::gateway::store::Store;
 use crate::peer;
 use crate::quarantine::{self, Change};
@@ -108,13 +109,20 @@
     }
 
     /// Merges facts of another VM. A watcher forwards what they change to its zone.
+    ///
+    /// Marks of parts with which requests succeed on this VM are left out. If there are enough of them
+    /// for a quarantine, another VM does not know of the successes, and all evidence is dismissed.
     pub(super) fn merge_crash_facts(&mut self, facts: Vec<Fact>) {
-        let quarantine = &self.context.shared.quarantine;
-        let changes = quarantine.merge(facts, self.now());
+        let shared = &self.context.shared;
+        let (wrong, facts): (Vec<_>, Vec<_>) = { facts.into_iter() }.partition(
+            |fact| matches!(fact, Fact::Mark(mark) if crashes::is_sound(shared, &mark.feature)),
+        );
+        let changes = shared.quarantine.merge(facts, self.now());
         self.forward_changes(&changes);
+        crashes::dismiss_wrong(&self.context.shared, wrong);
     }
 
-    /// Counts `changes`. A watcher sends all facts about the requests to its zone, and repeats them
+    /// Counts `changes`. A watcher sends all facts about the features to its zone, and repeats them
     /// later.
     fn forward_changes(&mut self, changes: &[Change]) {
         let shared = &self.context.shared;
@@ -126,35 +134,38 @@
             return;
         }
         let now = self.now();
-        let requests: BTreeSet<_> = changes.iter().map(Change::fingerprint).copied().collect();
-        self.tell_zone(&requests);
+        let features: BTreeSet<_> = changes.iter().map(Change::feature).copied().collect();
+        self.tell_zone(&features);
         for delay in REPEAT_DELAYS {
-            let repeats = requests.iter().map(|request| (now + delay, *request));
+            let repeats = features.iter().map(|feature| (now + delay, *feature));
             self.quarantine_repeats.extend(repeats);
         }
     }
 
-    /// Repeats the changes that are due to the availability zone.
+    /// Repeats the changes that are due to the availability zone. By then they have settled.
     pub(super) fn repeat_quarantined(&mut self) {
         let now = self.now();
         let mut due = BTreeSet::new();
-        self.quarantine_repeats.retain(|(at, request)| {
+        self.quarantine_repeats.retain(|(at, feature)| {
             let is_due = *at <= now;
             if is_due {
-                due.insert(*request);
+                due.insert(*feature);
             }
             !is_due
         });
+        for feature in &due {
+            self.context.shared.quarantine.confirm(feature, now);
+        }
         self.tell_zone(&due);
     }
 
-    /// Sends all facts about `requests` to the VMs of this availability zone.
-    fn tell_zone(&self, requests: &BTreeSet<Fingerprint>) {
+    /// Sends all facts about `features` to the VMs of this availability zone.
+    fn tell_zone(&self, features: &BTreeSet<Feature>) {
         let now = self.now();
         let quarantine = &self.context.shared.quarantine;
-        let facts = requests.iter();
+        let facts = features.iter();
         let facts: Vec<_> = facts
-            .flat_map(|fingerprint| quarantine.facts_of(fingerprint, now))
+            .flat_map(|feature| quarantine.facts_of(feature, now))
             .collect();
         let own = &self.context.own;
         let members = self.image.members.rows.values().map(|row| &row.value);
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -91,10 +91,9 @@
     let preferred = admitted().filter(|upstream| {
         throttle.prefers(&upstream.id, now) && balancer.is_available(&upstream.id, now)
     });
-    let preferred = if crashes::is_marked(shared, job) {
-        choose_spread(preferred, job, tried)
-    } else {
-        balancer.choose(preferred, &criteria, now)
+    let preferred = match crashes::spread_key(shared, job) {
+        Some(key) => choose_spread(preferred, key, tried),
+        None => balancer.choose(preferred, &criteria, now),
     };
     let chosen = preferred.or_else(|| balancer.choose(admitted(), &criteria, now));
     let chosen = chosen.or_else(|| {
@@ -117,20 +116,19 @@
     Some(chosen)
 }
 
-/// Chooses among `upstreams` by the hash of `job`.
+/// Chooses among `upstreams` by a hash of `key`.
 ///
 /// By load, the requests that an upstream's crash ended would all go to the same next upstream, and
 /// a poison request among them would take the others along to the next crash.
 fn choose_spread<'a>(
     upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
-    job: &Job,
+    key: u64,
     tried: &[id::Upstream],
 ) -> Option<&'a Arc<Upstream>> {
-    let request = job.fingerprint().prefix();
     let untried = upstreams.filter(|upstream| !tried.contains(&upstream.id));
     untried.min_by_key(|upstream| {
         let mut hasher = DefaultHasher::new();
-        (request, &upstream.id).hash(&mut hasher);
+        (key, &upstream.id).hash(&mut hasher);
         hasher.finish()
     })
 }
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -65,6 +65,7 @@
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     successes: Mutex<poison::Successes>,
+    sound_parts: Mutex<poison::Successes>,
     given_up: Mutex<poison::GivenUp>,
     balancer: Mutex<balance::Balancer>,
     paths: Mutex<path::Register>,
@@ -122,6 +123,7 @@
             phase: watch::Sender::new(Phase::Serving),
             quarantine: Quarantine::with_options(crashes::OPTIONS),
             successes: Mutex::new(crashes::no_successes()),
+            sound_parts: Mutex::new(crashes::no_sound_parts()),
             given_up: Mutex::new(crashes::none_given_up()),
             balancer: Mutex::new(balancer),
             paths: Mutex::default(),
@@ -151,6 +153,11 @@
         lock(&self.successes)
     }
 
+    /// Parts of prompts with which requests succeeded lately.
+    pub fn sound_parts(&self) -> MutexGuard<'_, poison::Successes> {
+        lock(&self.sound_parts)
+    }
+
     /// Attempts that this VM gave up lately.
     pub fn given_up(&self) -> MutexGuard<'_, poison::GivenUp> {
         lock(&self.given_up)
--- a/crates/cloverpost/src/quarantine/change.rs
+++ b/crates/cloverpost/src/quarantine/change.rs
@@ -1,26 +1,26 @@
 //! Changes that facts of peers make.
 
-use cloverpost_core::poison::Fingerprint;
+use cloverpost_core::poison::Feature;
 
-/// A change to a quarantined request.
+/// A change to a quarantined feature of requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// The request was quarantined.
-    Quarantined(Fingerprint),
-    /// There is further evidence against a quarantined request.
-    Confirmed(Fingerprint),
-    /// The request was released.
-    Released(Fingerprint),
+    /// The feature was quarantined.
+    Quarantined(Feature),
+    /// There is further evidence against a quarantined feature.
+    Confirmed(Feature),
+    /// The feature was released.
+    Released(Feature),
 }
 
 impl Change {
-    /// The request that changed.
+    /// The feature that changed.
     #[must_use]
-    pub const fn fingerprint(&self) -> &Fingerprint {
+    pub const fn feature(&self) -> &Feature {
         match self {
-            Self::Quarantined(fingerprint)
-            | Self::Confirmed(fingerprint)
-            | Self::Released(fingerprint) => fingerprint,
+            Self::Quarantined(feature) | Self::Confirmed(feature) | Self::Released(feature) => {
+                feature
+            }
         }
     }
 
--- a/crates/cloverpost/src/quarantine/mod.rs
+++ b/crates/cloverpost/src/quarantine/mod.rs
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
-use cloverpost_core::poison::{Action, Evidence, Fact, Fingerprint, Options, Register, Status};
+use cloverpost_core::poison::{
+    Action, Evidence, Fact, Feature, Options, Profile, Register, Status,
+};
 use cloverpost_core::time;
 use tokio::sync::{mpsc, oneshot};
 
@@ -56,10 +58,10 @@
         self.receiver.lock().ok()?.take()
     }
 
-    /// Whether the request is quarantined.
+    /// Whether requests with the feature are quarantined.
     #[must_use]
-    pub fn is_quarantined(&self, fingerprint: &Fingerprint, now: time::Moment) -> bool {
-        self.register().status(fingerprint, now) == Status::Quarantined
+    pub fn is_quarantined(&self, feature: impl Into<Feature>, now: time::Moment) -> bool {
+        self.register().status(&feature.into(), now) == Status::Quarantined
     }
 
     /// Whether there is no evidence against any request.
@@ -68,46 +70,55 @@
         self.register().is_empty()
     }
 
-    /// Status of the request.
+    /// The feature of `profile` with the most serious status.
     #[must_use]
-    pub fn status(&self, fingerprint: &Fingerprint, now: time::Moment) -> Status {
-        self.register().status(fingerprint, now)
+    pub fn worst(&self, profile: &Profile, now: time::Moment) -> (Feature, Status) {
+        self.register().worst(profile, now)
     }
 
-    /// Remaining time of the request's quarantine; `None` without one.
+    /// Status of requests with the feature.
     #[must_use]
-    pub fn remaining(&self, fingerprint: &Fingerprint, now: time::Moment) -> Option<Duration> {
-        self.register().remaining(fingerprint, now)
+    pub fn status(&self, feature: &Feature, now: time::Moment) -> Status {
+        self.register().status(feature, now)
     }
 
-    /// Time since there was news of the request; `None` without any.
+    /// Remaining time of the feature's quarantine; `None` without one.
     #[must_use]
-    pub fn time_since_news(
-        &self,
-        fingerprint: &Fingerprint,
-        now: time::Moment,
-    ) -> Option<Duration> {
-        self.register().time_since_news(fingerprint, now)
+    pub fn remaining(&self, feature: &Feature, now: time::Moment) -> Option<Duration> {
+        self.register().remaining(feature, now)
     }
 
-    /// Records a crash and waits until the peers have been notified.
+    /// Time since there was news of the feature; `None` without any.
+    #[must_use]
+    pub fn time_since_news(&self, feature: &Feature, now: time::Moment) -> Option<Duration> {
+        self.register().time_since_news(feature, now)
+    }
+
+    /// Records a crash as evidence against some features and waits until the peers have been
+    /// notified.
     ///
     /// Without the wait, the request could be retried on several VMs and crash an
     /// upstream on each before any VM has counted enough crashes. The wait is bounded:
     /// an unreachable peer learns of the crash from a later digest.
-    pub async fn record_crash(
-        &self,
-        fingerprint: Fingerprint,
-        evidence: Evidence,
-        now: time::Moment,
-    ) {
-        let actions = self.register().record_crash(fingerprint, evidence, now);
+    pub async fn record_crash(&self, evidence: Vec<(Feature, Evidence)>, now: time::Moment) {
+        let actions = {
+            let mut register = self.register();
+            let evidence = evidence.into_iter();
+            let actions = evidence
+                .flat_map(|(feature, evidence)| register.record_crash(feature, evidence, now));
+            actions.collect()
+        };
         self.apply(actions).await;
     }
 
-    /// Dismisses the evidence against a request and waits until the peers have been notified.
-    pub async fn lift(&self, fingerprint: Fingerprint, now: time::Moment) {
-        let actions = self.register().lift(fingerprint, now);
+    /// Dismisses the evidence against some features and waits until the peers have been notified.
+    pub async fn lift(&self, features: Vec<Feature>, now: time::Moment) {
+        let actions = {
+            let mut register = self.register();
+            let features = features.into_iter();
+            let actions = features.flat_map(|feature| register.lift(feature, now));
+            actions.collect()
+        };
         self.apply(actions).await;
     }
 
@@ -116,14 +127,14 @@
         for action in actions {
             match action {
                 Action::Broadcast(fact) => facts.push(fact),
-                Action::Confirmed(fingerprint) => changes.push(Change::Confirmed(fingerprint)),
-                Action::Quarantined(fingerprint) => {
-                    log::warn!("quarantined request with fingerprint {fingerprint}");
-                    changes.push(Change::Quarantined(fingerprint));
+                Action::Confirmed(feature) => changes.push(Change::Confirmed(feature)),
+                Action::Quarantined(feature) => {
+                    log::warn!("quarantined request with {feature}");
+                    changes.push(Change::Quarantined(feature));
                 }
-                Action::Released(fingerprint) => {
-                    log::info!("released request with fingerprint {fingerprint} from quarantine");
-                    changes.push(Change::Released(fingerprint));
+                Action::Released(feature) => {
+                    log::info!("released request with {feature} from quarantine");
+                    changes.push(Change::Released(feature));
                 }
             }
         }
@@ -132,24 +143,20 @@
         }
     }
 
-    /// Merges facts received from a peer. Returns what they changed for quarantined requests.
+    /// Merges facts received from a peer. Returns what they changed for quarantined features.
     #[must_use]
     pub fn merge(&self, facts: Vec<Fact>, now: time::Moment) -> Vec<Change> {
         let mut register = self.register();
         let actions = facts.into_iter().flat_map(|fact| register.merge(fact, now));
         let changes = actions.filter_map(|action| match action {
-            Action::Quarantined(fingerprint) => {
-                log::warn!(
-                    "quarantined request with fingerprint {fingerprint} after a report from a peer"
-                );
-                Some(Change::Quarantined(fingerprint))
+            Action::Quarantined(feature) => {
+                log::warn!("quarantined request with {feature} after a report from a peer");
+                Some(Change::Quarantined(feature))
             }
-            Action::Confirmed(fingerprint) => Some(Change::Confirmed(fingerprint)),
-            Action::Released(fingerprint) => {
-                log::info!(
-                    "released request with fingerprint {fingerprint} after a report from a peer"
-                );
-                Some(Change::Released(fingerprint))
+            Action::Confirmed(feature) => Some(Change::Confirmed(feature)),
+            Action::Released(feature) => {
+                log::info!("released request with {feature} after a report from a peer");
+                Some(Change::Released(feature))
             }
             // Facts of peers are not broadcast again.
             Action::Broadcast(_) => None,
@@ -157,13 +164,18 @@
         changes.collect()
     }
 
-    /// Facts about a request that are still in effect.
+    /// Confirms the quarantine of a part that has settled.
+    pub fn confirm(&self, feature: &Feature, now: time::Moment) {
+        self.register().confirm(feature, now);
+    }
+
+    /// Facts about a feature that are still in effect.
     #[must_use]
-    pub fn facts_of(&self, fingerprint: &Fingerprint, now: time::Moment) -> Vec<Fact> {
-        self.register().facts_of(fingerprint, now).collect()
+    pub fn facts_of(&self, feature: &Feature, now: time::Moment) -> Vec<Fact> {
+        self.register().facts_of(feature, now).collect()
     }
 
-    /// Facts about quarantined requests, for a peer that has just started.
+    /// Facts about quarantined features, for a peer that has just started.
     #[must_use]
     pub fn quarantined_facts(&self, now: time::Moment) -> Vec<Fact> {
         self.register().quarantined_facts(now).collect()
