fix(cloverpost): watchers repeat what is quarantined to the watchers of other availability zones

On the rig with six bad parts the VMs of one zone learnt of two quarantines up to 5.8 s after the others and went on crashing upstreams: both watchers of that zone, small VMs, had missed reports, and nothing but a further crash told them.

--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -142,7 +142,8 @@
         }
     }
 
-    /// Repeats the changes that are due to the availability zone. By then they have settled.
+    /// Repeats the changes that are due to the availability zone, and to the watchers of the others,
+    /// which may have missed reports. By then they have settled.
     pub(super) fn repeat_quarantined(&mut self) {
         let now = self.now();
         let mut due = BTreeSet::new();
@@ -153,10 +154,21 @@
             }
             !is_due
         });
+        if due.is_empty() {
+            return;
+        }
+        let quarantine = &self.context.shared.quarantine;
         for feature in &due {
-            self.context.shared.quarantine.confirm(feature, now);
+            quarantine.confirm(feature, now);
         }
         self.tell_zone(&due);
+        let facts: Vec<_> = { due.iter() }
+            .flat_map(|feature| quarantine.facts_of(feature, now))
+            .collect();
+        let own = &self.context.own;
+        let watchers = self.image.members.watchers().into_iter();
+        let others = watchers.filter(|watcher| watcher.zone != own.zone);
+        self.send_facts(&others.collect::<Vec<_>>(), &facts);
     }
 
     /// Sends all facts about `features` to the VMs of this availability zone.
