fix(cloverpost): a response without a length is complete only if its upstream did not crash

What callers saw: a stream with neither a length nor chunks whose upstream crashed between two events looked complete, as did the body of any other such response. The crash counted as a success, which dismissed the evidence against its cause; inside an event it was no evidence either.

Cause: such a response ends with its connection, and a process that ends closes its connections as well.

Now a VM that sees such an end checks whether the upstream accepts another connection (a millisecond after the 10 ms that a process may take to close all of its sockets), which the next request uses in place of the closed one. If the upstream is down the response is cut: a stream is resumed, other requests are sent again as far as they may be. Only an end that is proven counts as a success of the request. A stream that ends inside an event is checked like a connection that was reset. A non-resumable stream that ends within 10 ms of the crash of its upstream by another request is cut although it may have been complete.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -44,12 +44,23 @@
     pub head: http::response::Parts,
     /// Unread response body.
     pub body: Incoming,
+    /// Whether the body has neither a length nor chunks, and ends with its connection.
+    pub is_unframed: bool,
     /// Whether the upstream ran the request and failed.
     pub is_failure: bool,
     /// Confidence that the model reports for its response, 0 to 100.
     pub confidence: Option<u8>,
 }
 
+/// End of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The body is complete.
+    Complete,
+    /// The body is complete unless the upstream crashed, which is not known.
+    Unproven,
+}
+
 /// Options that differ between the attempts of a job.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AttemptOptions<'a> {
@@ -168,6 +179,7 @@
     Ok(UpstreamResponse {
         slot,
         connection,
+        is_unframed: response::is_unframed(&head),
         head,
         body,
         is_failure,
@@ -201,6 +213,28 @@
     }
 }
 
+/// What ended the connection of an unframed response: an upstream that crashes closes its connections
+/// like one that has written all of the body.
+pub async fn find_end<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    slot: &UpstreamSlot<C>,
+) -> Result<End, Failure> {
+    slot.end();
+    match crashes::record_lost(shared, job, &slot.upstream).await {
+        Loss::Connection => Ok(End::Complete),
+        Loss::Path => Ok(End::Unproven),
+        Loss::Upstream => {
+            log::info!(
+                id = job.head.id.as_str(), upstream = slot.upstream.id.as_str();
+                "the upstream crashed as its response without a length ended"
+            );
+            slot.record(Event::Broke);
+            Err(Failure::Truncated)
+        }
+    }
+}
+
 async fn connect<C: Codec>(
     shared: &Arc<Shared<C>>,
     slot: &UpstreamSlot<C>,
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -310,7 +310,10 @@
     let is_broken = shared.paths().is_broken(&upstream.id);
     if !is_broken {
         match connect_direct(shared, upstream).await {
-            Ok(_) => return Loss::Connection,
+            Ok(connection) => {
+                shared.pool.put_back(connection);
+                return Loss::Connection;
+            }
             Err(dial::Error::Refused) => {}
             Err(_) => return Loss::Path,
         }
--- a/crates/cloverpost/src/gateway/response.rs
+++ b/crates/cloverpost/src/gateway/response.rs
@@ -15,6 +15,18 @@
 /// refused callers from retrying all at once.
 const RETRY_AFTER_MAX_SECS: f64 = 0.6;
 
+/// Whether the body of a response to a request with a method other than HEAD ends with its connection.
+pub fn is_unframed(head: &http::response::Parts) -> bool {
+    let headers = &head.headers;
+    let has_body = !matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    has_body
+        && !headers.contains_key(header::CONTENT_LENGTH)
+        && !headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// Renders a refusal as an HTTP response.
 ///
 /// Callers retry a request on the statuses that state that it did not run. Unless that
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Frame, Incoming};
 
 use crate::gateway::Shared;
-use crate::gateway::attempt::{self, AttemptOptions, UpstreamResponse};
+use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
 use crate::gateway::codec::Codec;
 use crate::gateway::events::Splitter;
 use crate::gateway::in_flight::InFlightGuard;
@@ -63,6 +63,10 @@
     events_before: u32,
     /// Whether the pace of this run was recorded.
     is_pace_recorded: bool,
+    /// Whether the body ends with its connection.
+    is_unframed: bool,
+    /// Whether its end is known to be that of the body.
+    is_proven: bool,
 }
 
 impl<C: Codec> Relay<C> {
@@ -90,6 +94,8 @@
                 head_received: shared.clock.now(),
                 events_before: 0,
                 is_pace_recorded: false,
+                is_unframed: response.is_unframed,
+                is_proven: true,
             }),
             outcome: None,
             first_events: None,
@@ -165,28 +171,9 @@
                 failure = wait_for_stall(&self.shared, &self.job, &running.slot, since, may_resume) => return Err(failure),
             };
             let data = match frame {
-                None if self.splitter.has_partial_event() => return Err(Failure::Truncated),
-                None => return Ok(None),
-                Some(Err(_)) => {
-                    let lost = attempt::record_lost(
-                        &self.shared,
-                        &self.job,
-                        &running.slot,
-                        &running.connection,
-                        Failure::Truncated,
-                    );
-                    let failure = lost.await;
-                    if failure == Failure::Truncated {
-                        let upstream = &running.slot.upstream;
-                        rollout_evidence::record_cut(
-                            &self.shared,
-                            &self.job,
-                            upstream,
-                            running.head_received,
-                        );
-                    }
-                    return Err(failure);
-                }
+                None if self.splitter.has_partial_event() => return Err(self.record_lost().await),
+                None => return self.check_end().await.map(|()| None),
+                Some(Err(_)) => return Err(self.record_lost().await),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             running.slot.record(Event::Heard);
@@ -198,6 +185,37 @@
         }
     }
 
+    /// Records that the current run broke off.
+    async fn record_lost(&self) -> Failure {
+        let Some(running) = &self.running else {
+            return Failure::Truncated;
+        };
+        let (slot, connection) = (&running.slot, &running.connection);
+        let lost = attempt::record_lost(
+            &self.shared,
+            &self.job,
+            slot,
+            connection,
+            Failure::Truncated,
+        );
+        let failure = lost.await;
+        if failure == Failure::Truncated {
+            let (upstream, began) = (&slot.upstream, running.head_received);
+            rollout_evidence::record_cut(&self.shared, &self.job, upstream, began);
+        }
+        failure
+    }
+
+    /// Checks whether the current run, whose body has ended, is complete.
+    async fn check_end(&mut self) -> Result<(), Failure> {
+        let Some(running) = self.running.as_mut().filter(|run| run.is_unframed) else {
+            return Ok(());
+        };
+        let end = attempt::find_end(&self.shared, &self.job, &running.slot).await?;
+        running.is_proven = end == End::Complete;
+        Ok(())
+    }
+
     /// Resumes the stream on another upstream after a failure, if a retry is allowed.
     async fn resume(&mut self, mut failure: Failure) -> Result<(), Refusal> {
         self.splitter.discard_partial();
@@ -248,6 +266,8 @@
             head_received: self.shared.clock.now(),
             events_before: self.splitter.count(),
             is_pace_recorded: false,
+            is_unframed: response.is_unframed,
+            is_proven: true,
         });
         Ok(())
     }
@@ -272,12 +292,16 @@
 
     fn finish(&mut self) {
         self.outcome = Some("answered");
-        crashes::record_success(&self.shared, &self.job);
         self.record_pace(MIN_PACE_EVENTS_AT_END);
         if let Some(running) = self.running.take() {
+            if running.is_proven {
+                crashes::record_success(&self.shared, &self.job);
+            }
             self.record_decode(&running);
             running.slot.record(Event::Succeeded);
-            self.shared.pool.put_back(running.connection);
+            if !running.is_unframed {
+                self.shared.pool.put_back(running.connection);
+            }
         }
     }
 
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -53,8 +53,8 @@
         let failure = match attempt::send(shared, &job, &upstream, options).await {
             Ok(response) if response.is_failure => {
                 match unary::read_full(shared, &job, response).await {
-                    Ok((response, _)) => {
-                        failure_response = Some(response);
+                    Ok(received) => {
+                        failure_response = Some(received.response);
                         Failure::Failed
                     }
                     Err(failure) => failure,
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Limited};
 
 use crate::gateway::Shared;
-use crate::gateway::attempt::{self, AttemptOptions, UpstreamResponse};
+use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
@@ -32,6 +32,16 @@
     Refused(Refusal),
 }
 
+/// A response that was read to its end.
+pub struct Received {
+    /// The response.
+    pub response: FullResponse,
+    /// Whether the upstream ran the request and failed.
+    pub is_failure: bool,
+    /// Whether the body is complete.
+    pub end: End,
+}
+
 /// Creates the retry state of `job`.
 pub fn new_dispatch(job: &Job) -> Dispatch {
     Dispatch::new(Options {
@@ -69,14 +79,16 @@
             Err(failure) => Err(failure),
         };
         let failure = match result {
-            Ok((response, false)) => {
-                crashes::record_success(shared, job);
-                return Outcome::Answered(response);
-            }
-            Ok((response, true)) => {
-                failure_response = Some(response);
+            Ok(received) if received.is_failure => {
+                failure_response = Some(received.response);
                 Failure::Failed
             }
+            Ok(received) => {
+                if received.end == End::Complete {
+                    crashes::record_success(shared, job);
+                }
+                return Outcome::Answered(received.response);
+            }
             Err(failure) => failure,
         };
         match next_step(shared, job, &mut dispatch, failure).await {
@@ -127,18 +139,18 @@
     );
 }
 
-/// Reads a response to its end. The returned flag tells whether the upstream ran the request and
-/// failed.
+/// Reads a response to its end.
 pub async fn read_full<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
     response: UpstreamResponse<C>,
-) -> Result<(FullResponse, bool), Failure> {
+) -> Result<Received, Failure> {
     let UpstreamResponse {
         slot,
         connection,
         head,
         body,
+        is_unframed,
         is_failure,
         ..
     } = response;
@@ -151,13 +163,22 @@
             attempt::record_lost(shared, job, &slot, &connection, Failure::Truncated).await,
         );
     };
-    shared.pool.put_back(connection);
+    let end = if is_unframed {
+        attempt::find_end(shared, job, &slot).await?
+    } else {
+        shared.pool.put_back(connection);
+        End::Complete
+    };
     slot.record(if is_failure {
         Event::Failed
     } else {
         Event::Succeeded
     });
-    Ok((into_response(&head, body.to_bytes()), is_failure))
+    Ok(Received {
+        response: into_response(&head, body.to_bytes()),
+        is_failure,
+        end,
+    })
 }
 
 fn into_response(head: &http::response::Parts, body: Bytes) -> FullResponse {
