fix(cloverpost): parts that were only in flight excuse no request that crashes upstreams

Parts that a few requests share were in flight at some of its crashes; on VMs that knew no success with them they were suspects, and together they accounted for enough of its crashes.

Now only quarantined parts account for crashes together. A part that is merely suspected excuses a request if it was at all its crashes and, above the threshold, at others. A part is suspected only if two crashes are left without those of any one of its requests, which may be poison by itself.

Two tests of core failed before.

--- a/crates/cloverpost-core/src/poison/evidence.rs
+++ b/crates/cloverpost-core/src/poison/evidence.rs
@@ -33,15 +33,10 @@
     #[must_use]
     pub fn of_request(upstream: &directory::Upstream, request: &Fingerprint) -> Self {
         Self {
-            request: Self::request(request),
+            request: id::Request::from(u128::from(request.prefix())),
             upstream: name(upstream),
         }
     }
-
-    /// How evidence that tells requests apart names `request`.
-    pub(super) fn request(request: &Fingerprint) -> id::Request {
-        id::Request::from(u128::from(request.prefix()))
-    }
 }
 
 /// Name of the process of `upstream`.
--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -9,23 +9,25 @@
 //! there at each of the crashes, and at others, is an excuse; otherwise poison requests that come at
 //! the same time would never be stopped.
 //!
-//! A part of prompts is suspected once several requests that have it met several crashes. Crashes at
-//! which a suspected part was in flight do not count against single requests. A part that one
-//! request accounts for is not quarantined, and one that another suspected part accounts for only
+//! A part of prompts is suspected once requests that have it met several crashes beside those of any
+//! one of them, which may be poison by itself. It excuses a request with no more crashes, as another
+//! request would. Crashes at which a quarantined part was in flight do not count against single
+//! requests. A part that one request accounts for is not quarantined, and one that another suspected part accounts for only
 //! after one more crash: bad parts that come at the same time excuse each other as well. Once a
 //! quarantine is confirmed, no other part excuses it: none of its requests run any more, so that
 //! later crashes say nothing of it. Of two parts that are always in the same requests both are
 //! quarantined, of a request and its part only the request.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::id;
 use crate::poison::record::Record;
 use crate::poison::{Action, Evidence, Fact, Feature, Register, Status};
 use crate::time;
 
-/// Least number of requests, and of crashes, after which a part is suspected.
-const MIN_PART_REQUESTS: usize = 2;
+/// Least number of crashes of a part, beside those of any one of its requests, after which it is
+/// suspected.
+const MIN_OTHER_CRASHES: usize = 2;
 /// Number of crashes above the threshold from which no other part excuses a part.
 const MAX_EXCUSED_CRASHES: usize = 1;
 
@@ -34,10 +36,7 @@
     pub(super) fn is_suspect(&self, feature: &Feature, record: &Record) -> bool {
         match feature {
             Feature::Request(_) => record.live.len() >= self.options.threshold,
-            Feature::Part(_) => {
-                record.requests().len() >= MIN_PART_REQUESTS
-                    && record.upstreams().len() >= MIN_PART_REQUESTS
-            }
+            Feature::Part(_) => record.crashes_beside_one_request() >= MIN_OTHER_CRASHES,
         }
     }
 
@@ -97,36 +96,31 @@
         record.live.iter().filter(is_unexplained).count() < threshold
     }
 
-    /// Whether suspected parts were in flight at all but a few of the crashes of a request.
+    /// Whether a suspected part accounts for all crashes of a request, or quarantined parts together
+    /// for all but a few.
     fn is_explained_by_parts(&self, record: &Record, now: time::Moment) -> bool {
-        let parts = self.suspected_parts(now);
-        let explained: BTreeSet<_> = parts.flat_map(Record::upstreams).collect();
+        let crashes = record.upstreams();
+        let is_new = record.live.len() <= self.options.threshold;
+        let mut explained = BTreeSet::new();
+        for (part, other) in self.suspected_parts(now) {
+            let upstreams = other.upstreams();
+            let is_wider = is_new || upstreams.len() > crashes.len();
+            if is_wider && upstreams.is_superset(&crashes) {
+                return true;
+            }
+            if self.status(part, now) == Status::Quarantined {
+                explained.extend(upstreams);
+            }
+        }
         let is_unexplained = |crash: &&Evidence| !explained.contains(&crash.upstream);
         record.live.iter().filter(is_unexplained).count() < self.options.threshold
     }
 
-    /// Suspected parts, but for those of which a single request accounts for all crashes.
-    fn suspected_parts(&self, now: time::Moment) -> impl Iterator<Item = &Record> {
+    fn suspected_parts(&self, now: time::Moment) -> impl Iterator<Item = (&Feature, &Record)> {
         let parts = self.suspects.iter().rev();
         let parts = parts.take_while(|feature| matches!(feature, Feature::Part(_)));
-        let parts = parts.filter_map(|part| self.records.get(part));
-        let parts = parts.filter(move |part| part.live_len(now) > 0);
-        parts.filter(move |part| !self.is_of_one_request(part, now))
-    }
-
-    /// Whether one of the requests with a part was in flight at all its crashes.
-    fn is_of_one_request(&self, part: &Record, now: time::Moment) -> bool {
-        let (requests, upstreams) = (part.requests(), part.upstreams());
-        let suspects = self.suspects.iter();
-        let mut suspects = suspects.filter_map(|feature| match feature {
-            Feature::Request(fingerprint) => Some((fingerprint, self.records.get(feature)?)),
-            Feature::Part(_) => None,
-        });
-        suspects.any(|(fingerprint, record)| {
-            record.live_len(now) > 0
-                && requests.contains(&Evidence::request(fingerprint))
-                && record.upstreams().is_superset(&upstreams)
-        })
+        let parts = parts.filter_map(|part| self.records.get_key_value(part));
+        parts.filter(move |(_, record)| record.live_len(now) > 0)
     }
 
     fn is_part_explained(&self, part: &Feature, record: &Record, now: time::Moment) -> bool {
@@ -190,9 +184,13 @@
         evidence.map(|evidence| &evidence.upstream).collect()
     }
 
-    /// Requests of the live evidence.
-    pub(super) fn requests(&self) -> BTreeSet<id::Request> {
-        let evidence = self.live.iter();
-        evidence.map(|evidence| evidence.request).collect()
+    /// Number of crashes that the request with the most of them was not in flight at.
+    fn crashes_beside_one_request(&self) -> usize {
+        let mut by_request = BTreeMap::<_, usize>::new();
+        for evidence in &self.live {
+            *by_request.entry(evidence.request).or_default() += 1;
+        }
+        let most = by_request.into_values().max().unwrap_or_default();
+        self.upstreams().len() - most
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/poison/parts.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/parts.rs
@@ -74,6 +74,30 @@
     assert!(is_quarantined(&vm, feature(1)));
 }
 
+// Guards against a part that excuses a poison request, since another request with it met a crash.
+#[test]
+fn a_part_excuses_no_poison_request_that_accounts_for_most_of_its_crashes() {
+    let mut vm = Register::new(OPTIONS);
+    crash(&mut vm, 9, &[(2, &[7])], at(0));
+    for number in 1..=4 {
+        crash(&mut vm, number, &[(1, &[7]), (3, &[7])], at(0));
+    }
+    assert!(is_quarantined(&vm, feature(1)));
+    assert!(!is_quarantined(&vm, part(7)));
+}
+
+// Guards against parts that were only in flight and together excuse a poison request without end.
+#[test]
+fn parts_that_meet_some_of_its_crashes_do_not_excuse_a_poison_request() {
+    let mut vm = Register::new(OPTIONS);
+    for number in 1..=6 {
+        let (beside, part) = (100 + number, 7 + u64::from(number) % 2);
+        crash(&mut vm, number, &[(1, &[]), (beside, &[part])], at(0));
+    }
+    assert!(is_quarantined(&vm, feature(1)));
+    assert!(!is_quarantined(&vm, part(7)) && !is_quarantined(&vm, part(8)));
+}
+
 // Guards against rejecting requests that were in flight as others with a bad part crashed upstreams.
 #[test]
 fn requests_beside_a_bad_part_are_not_quarantined() {
