fix(cloverpost): a quarantined request is not released by later crashes of others

On the rig with six poison requests at once a request was quarantined 0.75 s after its first crash, and released on all VMs at 4 s: none of its copies ran any more, so its four crashes stayed as they were, while another poison request met all four upstreams by and by and was taken for their cause. It crashed nine more.

Parts are confirmed once their quarantine has settled; so are requests now, at the last repeat of the news (1.2 s), as those that are only in flight take longer to be told from the poison ones.

--- a/crates/cloverpost-core/src/poison/explanation.rs
+++ b/crates/cloverpost-core/src/poison/explanation.rs
@@ -13,10 +13,11 @@
 //! one of them, which may be poison by itself. It excuses a request with no more crashes, as another
 //! request would. Crashes at which a quarantined part was in flight do not count against single
 //! requests. A part that one request accounts for is not quarantined, and one that another suspected part accounts for only
-//! after one more crash: bad parts that come at the same time excuse each other as well. Once a
-//! quarantine is confirmed, no other part excuses it: none of its requests run any more, so that
-//! later crashes say nothing of it. Of two parts that are always in the same requests both are
+//! after one more crash: bad parts that come at the same time excuse each other as well. Of two parts that are always in the same requests both are
 //! quarantined, of a request and its part only the request.
+//!
+//! Once a quarantine is confirmed, no feature of its kind excuses it: none of its requests run any
+//! more, so that later crashes, at which others were in flight, say nothing of it.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -57,6 +58,7 @@
         now: time::Moment,
     ) -> bool {
         match feature {
+            Feature::Request(_) if record.is_confirmed => false,
             Feature::Request(_) => {
                 self.is_explained_by_parts(record, now)
                     || self.is_explained_by_requests(feature, record, now)
@@ -143,14 +145,11 @@
             .collect()
     }
 
-    /// Confirms the quarantine of a part, if it is in effect: all VMs have had time to tell of the
+    /// Confirms the quarantine of a feature, if it is in effect: all VMs have had time to tell of the
     /// crashes. Facts of it are confirmed from now on.
     pub fn confirm(&mut self, feature: &Feature, now: time::Moment) {
         let is_quarantined = self.status(feature, now) == Status::Quarantined;
-        if is_quarantined
-            && matches!(feature, Feature::Part(_))
-            && let Some(record) = self.records.get_mut(feature)
-        {
+        if is_quarantined && let Some(record) = self.records.get_mut(feature) {
             record.is_confirmed = true;
         }
     }
--- a/crates/cloverpost-core/tests/behaviour/poison/explained.rs
+++ b/crates/cloverpost-core/tests/behaviour/poison/explained.rs
@@ -103,6 +103,16 @@
     assert_eq!(status(&vm, 3), Status::Marked);
 }
 
+// Guards against releasing a poison request when others go on to crash upstreams.
+#[test]
+fn a_confirmed_request_is_not_excused_by_later_crashes() {
+    let mut vm = Register::new(OPTIONS);
+    mark(&mut vm, 1, &[1, 2, 3, 4], at(0));
+    vm.confirm(&feature(1), at(0));
+    mark(&mut vm, 2, &[1, 2, 3, 4, 5, 6], at(1));
+    assert_eq!(status(&vm, 1), Status::Quarantined);
+}
+
 // Guards against excusing a request by one that has been released.
 #[test]
 fn dismissed_evidence_explains_nothing() {
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -22,7 +22,6 @@
 use cloverpost_core::directory::{
     Configuration, Encodings, Fetch, Image, Member, Upstream, Version,
 };
-use cloverpost_core::poison::Feature;
 use cloverpost_core::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::watch;
@@ -87,7 +86,7 @@
     last_request: time::Moment,
     quarantine_requests: quarantine::Requests,
     /// Requests whose change is to be repeated to the availability zone, with the time.
-    quarantine_repeats: Vec<(time::Moment, Feature)>,
+    quarantine_repeats: Vec<quarantine::Repeat>,
     requests: peer_requests::PeerRequests,
     /// The encoded configuration, served to peers in pieces.
     configuration_encodings: Encodings,
--- a/crates/cloverpost/src/gateway/control/quarantine.rs
+++ b/crates/cloverpost/src/gateway/control/quarantine.rs
@@ -47,6 +47,15 @@
 /// Interval of the periodic task after which the process was suspended and may have missed news.
 const MAX_TASK_INTERVAL: Duration = Duration::from_secs(1);
 
+/// A change of a quarantine that a watcher is to repeat.
+#[derive(Clone, Copy, Debug)]
+pub struct Repeat {
+    at: time::Moment,
+    feature: Feature,
+    /// Whether the quarantine has settled by then.
+    confirms: bool,
+}
+
 /// Requests for what is quarantined.
 #[derive(Clone, Copy, Debug)]
 pub struct Requests {
@@ -137,7 +146,13 @@
         let features: BTreeSet<_> = changes.iter().map(Change::feature).copied().collect();
         self.tell_zone(&features);
         for delay in REPEAT_DELAYS {
-            let repeats = features.iter().map(|feature| (now + delay, *feature));
+            let is_last = Some(&delay) == REPEAT_DELAYS.last();
+            let repeats = features.iter().map(|feature| Repeat {
+                at: now + delay,
+                feature: *feature,
+                // Requests in flight beside many poison ones take longer to be told from them.
+                confirms: is_last || matches!(feature, Feature::Part(_)),
+            });
             self.quarantine_repeats.extend(repeats);
         }
     }
@@ -146,20 +161,15 @@
     /// which may have missed reports. By then they have settled.
     pub(super) fn repeat_quarantined(&mut self) {
         let now = self.now();
-        let mut due = BTreeSet::new();
-        self.quarantine_repeats.retain(|(at, feature)| {
-            let is_due = *at <= now;
-            if is_due {
-                due.insert(*feature);
-            }
-            !is_due
-        });
+        let is_due = |repeat: &mut Repeat| repeat.at <= now;
+        let repeats: Vec<_> = self.quarantine_repeats.extract_if(.., is_due).collect();
+        let due: BTreeSet<_> = repeats.iter().map(|repeat| repeat.feature).collect();
         if due.is_empty() {
             return;
         }
         let quarantine = &self.context.shared.quarantine;
-        for feature in &due {
-            quarantine.confirm(feature, now);
+        for repeat in repeats.iter().filter(|repeat| repeat.confirms) {
+            quarantine.confirm(&repeat.feature, now);
         }
         self.tell_zone(&due);
         let facts: Vec<_> = { due.iter() }
