feat(cloverpost): lines and metrics of upstreams that ask for no requests

The logs of the incident could not tell whether a response said that its upstream leaves or wants rest, whether the VM knew it as it chose, and of which kind a send to such an upstream was. Now the codec reads all statements of a response head at once (one method of the trait in place of one a header), core pushback tracks who asked for what and until when, and there is one line as an upstream asks, one as a rest ends, and one for each send to an upstream that asked for none, with the age of the statement and the kind of send; three metrics.

Statements are read from every response of the addressed process: not from those of another request, of another instance (421) or of a process that has ended since. Nothing chooses by them yet: no behaviour changes, but that idle connections to an upstream that leaves are closed. Tests of core and codec pass.

--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod path;
 pub mod plan;
 pub mod poison;
+pub mod pushback;
 pub mod quota;
 pub mod refusal;
 pub mod rollout;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -23,6 +23,7 @@
 mod path;
 mod plan;
 mod poison;
+mod pushback;
 mod refusal;
 mod rollout;
 mod session;
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -15,12 +15,13 @@
 use crate::gateway::job::Job;
 use crate::gateway::path::{self, Loss};
 use crate::gateway::pool::Connection;
+use crate::gateway::pushback;
 use crate::gateway::rate_limits;
-use crate::gateway::rejection_limits;
 use crate::gateway::response;
 use crate::gateway::rollout_evidence::{self, HeadOutcome};
 use crate::gateway::selection;
 use crate::gateway::slot::UpstreamSlot;
+use crate::gateway::statements;
 
 /// Time without data from an upstream, on any of this VM's requests, after which a stream
 /// that waits there is retried on another upstream. It must exceed the silence of an
@@ -96,6 +97,7 @@
     let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), job.profile(), work);
     selection::count_send(shared, job, upstream);
     rate_limits::record_send(shared, job, upstream, options.kind());
+    pushback::record_send(shared, job, upstream, options.kind());
     let sent = shared.clock.now();
     let result = exchange(shared, job, slot, options).await;
     record_result(shared, job, upstream, options, sent, &result);
@@ -146,10 +148,9 @@
     let (head, body) = response.into_parts();
     connection.record_keep_alive(&head);
     let classification = shared.codec.classify_response(&job.head.id, &head);
+    statements::record(shared, job, &slot, sent, &head, classification);
     let (is_failure, confidence) = match classification {
         Classification::AtCapacity => {
-            rate_limits::record_response(shared, job, &slot.upstream, sent, &head, true);
-            rejection_limits::record_response(shared, job, &slot.upstream, sent, &head, true);
             slot.record(Event::Full);
             return Err(Failure::NotStarted);
         }
@@ -165,8 +166,6 @@
         Classification::Failed => (true, None),
         Classification::Succeeded { confidence } => (false, confidence),
     };
-    rate_limits::record_response(shared, job, &slot.upstream, sent, &head, false);
-    rejection_limits::record_response(shared, job, &slot.upstream, sent, &head, false);
     let took = shared.clock.now().since(sent);
     slot.release_work();
     slot.record(Event::Began(took));
--- a/crates/cloverpost/src/gateway/codec.rs
+++ b/crates/cloverpost/src/gateway/codec.rs
@@ -20,11 +20,9 @@
     /// Classifies the response head for the request `id`.
     fn classify_response(&self, id: &str, head: &http::response::Parts) -> Classification;
 
-    /// The rate limit that the upstream states in a response head.
-    fn stated_limit(&self, head: &http::response::Parts) -> StatedLimit;
-
-    /// The rejections a second that the upstream survives, as a response head states it.
-    fn stated_rejection_limit(&self, head: &http::response::Parts) -> StatedLimit;
+    /// What the addressed upstream says of itself in a response head to the request `id`; nothing if
+    /// the response may be another upstream's.
+    fn statements(&self, id: &str, head: &http::response::Parts) -> Statements;
 
     /// Whether `path` is the readiness probe of this VM.
     fn is_readiness_probe(&self, path: &str) -> bool;
@@ -139,14 +137,28 @@
     pub last_event: Option<&'a str>,
 }
 
-/// A limit that an upstream states in one response.
-#[derive(Clone, Debug, PartialEq)]
-pub enum StatedLimit {
-    /// The response states no limit.
+/// What an upstream says of itself in one response.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Statements {
+    /// Requests per second that it takes from all VMs together.
+    pub rate_limit: Stated<throttle::Rate>,
+    /// Rejections per second that it survives.
+    pub rejection_limit: Stated<throttle::Rate>,
+    /// Whether it leaves.
+    pub leaving: Stated<bool>,
+    /// Time for which it wants no request from this VM.
+    pub rest: Stated<Duration>,
+}
+
+/// A value that an upstream may state in one response.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub enum Stated<T> {
+    /// The response has no such value.
+    #[default]
     Absent,
-    /// Requests per second from all VMs together.
-    Rate(throttle::Rate),
-    /// The limit is not a rate, so the response says nothing about it.
+    /// The value.
+    Value(T),
+    /// The text is no such value, so the response says nothing about it.
     Malformed(String),
 }
 
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -9,8 +9,8 @@
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
-use crate::gateway::rollouts;
 use crate::gateway::store::{Error, Store, Topic};
+use crate::gateway::{pushback, rollouts};
 
 /// Interval between requests to random peers while the store is unavailable.
 const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
@@ -56,6 +56,7 @@
         self.repeat_quarantined();
         self.share_loads();
         self.share_rate_limits(now);
+        pushback::record_ends(&self.context.shared);
         self.update_followed_topics();
         if now.since(self.last_heartbeat_sent) > HEARTBEAT_INTERVAL {
             self.send_heartbeats();
@@ -69,6 +70,7 @@
             self.context.shared.quarantine.prune(now);
             self.context.shared.throttle().retain(&view, now);
             self.context.shared.fragile().retain(&view);
+            self.context.shared.pushback().retain(&view, now);
         }
         self.context
             .shared
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 mod fragile;
 mod paths;
 mod peers;
+mod pushback;
 mod rate_limits;
 
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 pub use fragile::Fragile;
 pub use paths::Paths;
 pub use peers::Peers;
+pub use pushback::Pushback;
 pub use rate_limits::RateLimits;
 
 /// Upper bounds of latency buckets, in seconds.
@@ -67,6 +69,8 @@
     pub rate_limits: RateLimits,
     /// Services whose upstreams fail when they reject too many requests.
     pub fragile: Fragile,
+    /// Upstreams that asked this VM to send nothing.
+    pub pushback: Pushback,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
     /// Paths to upstreams.
@@ -167,6 +171,7 @@
             ),
             rate_limits: RateLimits::register(&registry),
             fragile: Fragile::register(&registry),
+            pushback: Pushback::register(&registry),
             connections: counter(
                 "upstream_connections_total",
                 "connections opened to upstreams",
--- a/crates/cloverpost/src/gateway/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/rate_limits.rs
@@ -1,10 +1,10 @@
 //! Rate limits that upstreams state in their responses.
 
-use cloverpost_core::throttle::Change;
+use cloverpost_core::throttle::{Change, Rate};
 use cloverpost_core::{directory, time};
 
 use crate::gateway::Shared;
-use crate::gateway::codec::Codec;
+use crate::gateway::codec::{Codec, Stated};
 use crate::gateway::job::Job;
 use crate::gateway::stated_limit;
 
@@ -27,17 +27,16 @@
     );
 }
 
-/// Records the limit that `upstream` states in the head of a response to a request sent at `sent`.
-/// A rejection without a limit does not show that the limit has ended.
+/// Records the limit that `upstream` states in a response to a request sent at `sent`. A rejection
+/// without a limit does not show that the limit has ended.
 pub fn record_response<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     sent: time::Moment,
-    head: &http::response::Parts,
+    stated: &Stated<Rate>,
     is_rejection: bool,
 ) {
-    let stated = shared.codec.stated_limit(head);
     let Ok(stated) = stated_limit::read(job, upstream, stated, is_rejection) else {
         return;
     };
--- a/crates/cloverpost/src/gateway/rejection_limits.rs
+++ b/crates/cloverpost/src/gateway/rejection_limits.rs
@@ -1,25 +1,26 @@
 //! Upstreams that state how many rejections a second they survive.
 
 use cloverpost_core::fragile::Change;
+use cloverpost_core::throttle::Rate;
 use cloverpost_core::{directory, time};
 
 use crate::gateway::Shared;
-use crate::gateway::codec::Codec;
+use crate::gateway::codec::{Codec, Stated};
 use crate::gateway::job::Job;
 use crate::gateway::stated_limit;
 
-/// Records what `upstream` states in the head of a response to a request sent at `sent`. A rejection
-/// without a statement does not show its end.
+/// Records what `upstream` states in a response to a request sent at `sent`. A rejection without a
+/// statement does not show its end.
 pub fn record_response<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     sent: time::Moment,
-    head: &http::response::Parts,
+    stated: &Stated<Rate>,
     is_rejection: bool,
 ) {
     let now = shared.clock.now();
-    if let Some(change) = record_statement(shared, job, upstream, sent, head, is_rejection) {
+    if let Some(change) = record_statement(shared, job, upstream, sent, stated, is_rejection) {
         log_change(job, upstream, change);
     }
     if !is_rejection {
@@ -51,10 +52,9 @@
     job: &Job,
     upstream: &directory::Upstream,
     sent: time::Moment,
-    head: &http::response::Parts,
+    stated: &Stated<Rate>,
     is_rejection: bool,
 ) -> Option<Change> {
-    let stated = shared.codec.stated_rejection_limit(head);
     let stated = stated_limit::read(job, upstream, stated, is_rejection).ok()?;
     let now = shared.clock.now();
     let mut fragile = shared.fragile();
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    balance, budget, cold, directory, escalation, exposure, fragile, id, path, poison, quota,
-    throttle, time,
+    balance, budget, cold, directory, escalation, exposure, fragile, id, path, poison, pushback,
+    quota, throttle, time,
 };
 use tokio::sync::{Notify, watch};
 
@@ -76,6 +76,7 @@
     throttle: Mutex<throttle::Register>,
     returns: Mutex<throttle::Returns>,
     fragile: Mutex<fragile::Register>,
+    pushback: Mutex<pushback::Register>,
     /// Notified when other VMs should be told of rejections.
     pub rejection_news: Notify,
     sizes: Mutex<escalation::Sizes>,
@@ -134,6 +135,7 @@
             throttle: Mutex::new(throttle),
             returns: Mutex::default(),
             fragile: Mutex::new(fragile),
+            pushback: Mutex::default(),
             rejection_news: Notify::new(),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
@@ -208,6 +210,11 @@
         lock(&self.fragile)
     }
 
+    /// Upstreams that asked this VM to send nothing.
+    pub fn pushback(&self) -> MutexGuard<'_, pushback::Register> {
+        lock(&self.pushback)
+    }
+
     /// Typical request sizes by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
@@ -347,6 +354,7 @@
         self.balancer().restart(upstream);
         self.throttle().restart(upstream, self.clock.now());
         self.fragile().restart(upstream);
+        self.pushback().restart(upstream);
         self.pool.close_idle(upstream);
     }
 
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Whether the upstream still runs the process that the slot was acquired on.
+    pub fn is_current(&self) -> bool {
+        self.shared.balancer().restarts(&self.upstream.id) == self.restarts
+    }
+
     /// Updates the load and health of the upstream, unless it has restarted since the
     /// slot was acquired.
     fn with_balancer<T>(
--- a/crates/cloverpost/src/gateway/stated_limit.rs
+++ b/crates/cloverpost/src/gateway/stated_limit.rs
@@ -2,7 +2,7 @@
 
 use cloverpost_core::{directory, throttle};
 
-use crate::gateway::codec::StatedLimit;
+use crate::gateway::codec::Stated;
 use crate::gateway::job::Job;
 
 /// The response does not tell whether there is a limit.
@@ -17,16 +17,16 @@
 pub fn read(
     job: &Job,
     upstream: &directory::Upstream,
-    stated: StatedLimit,
+    stated: &Stated<throttle::Rate>,
     is_rejection: bool,
 ) -> Result<Option<throttle::Rate>, Untold> {
     match stated {
-        StatedLimit::Absent if is_rejection => Err(Untold),
-        StatedLimit::Absent => Ok(None),
-        StatedLimit::Rate(rate) => Ok(Some(rate)),
-        StatedLimit::Malformed(value) => {
+        Stated::Absent if is_rejection => Err(Untold),
+        Stated::Absent => Ok(None),
+        Stated::Value(rate) => Ok(Some(*rate)),
+        Stated::Malformed(value) => {
             log::warn!(
-                id = job.head.id.as_str(), upstream = upstream.id.as_str(), value;
+                id = job.head.id.as_str(), upstream = upstream.id.as_str(), value = value.as_str();
                 "a limit that the upstream states cannot be read, what was known of it stays"
             );
             Err(Untold)
