refactor(cloverpost-core): one register and one gate for what upstreams say of themselves

Selection composed four registers by hand, each with its own lock, its own admits, prefers and record_send and a closure for each step; the question whether an upstream takes another attempt repeated the composition. The class of the incident is that: what upstreams say is learnt case by case, and each case has to be added to each way.

admission::Register holds cold, throttle, fragile and pushback under one lock, with one record_send, restart, retain and set_senders; admission::Gate decides for a service at one moment, and selection and has_upstream ask it. The other way, fields on the balancer's load, was weighed by reading: what binds would stand beside what is only preferred, which the balancer's fallback goes past.

--- a/crates/cloverpost-core/src/fragile/load.rs
+++ b/crates/cloverpost-core/src/fragile/load.rs
@@ -1,5 +1,8 @@
 //! What a VM knows of the requests on an upstream or all of a service.
 
+use crate::balance::Balancer;
+use crate::{id, time};
+
 /// Requests in flight.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -10,6 +13,17 @@
 }
 
 impl Load {
+    /// What this VM knows of the requests on `upstream`.
+    #[must_use]
+    pub fn of(balancer: &Balancer, upstream: &id::Upstream, now: time::Moment) -> Self {
+        let own = balancer.in_flight(upstream);
+        let peers = balancer.in_flight_of_peers(upstream, now);
+        Self {
+            own,
+            zone: peers.map(|peers| own + peers),
+        }
+    }
+
     /// The sum of two loads.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! reproduced from a seed.
 #![deny(missing_docs, unsafe_code, rust_2018_idioms)]
 
+pub mod admission;
 pub mod balance;
 pub mod billing;
 pub mod budget;
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -68,9 +68,7 @@
             self.context.shared.balancer().retain(&view);
             self.context.shared.paths().retain(&view);
             self.context.shared.quarantine.prune(now);
-            self.context.shared.throttle().retain(&view, now);
-            self.context.shared.fragile().retain(&view);
-            self.context.shared.pushback().retain(&view, now);
+            self.context.shared.admission().retain(&view, now);
         }
         self.context
             .shared
--- a/crates/cloverpost/src/gateway/control/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/control/rate_limits.rs
@@ -24,13 +24,13 @@
     /// Sends news of this VM, and, on a watcher, all limits if they are due.
     pub(super) fn share_rate_limits(&mut self, now: time::Moment) {
         let shared = self.context.shared.clone();
-        let news = shared.throttle().take_news(now);
+        let news = shared.admission().throttle.take_news(now);
         if self.is_watcher() {
             self.send_rate_limits_to_zone(&news);
             self.send_rate_limits_to_watchers(&news);
             if now.since(self.last_rate_limits) > REPEAT_INTERVAL {
                 self.last_rate_limits = now;
-                let all = shared.throttle().notices(now);
+                let all = shared.admission().throttle.notices(now);
                 self.send_rate_limits_to_zone(&all);
                 self.send_rate_limits_to_watchers(&all);
             }
@@ -45,7 +45,8 @@
         let shared = &self.context.shared;
         let now = self.now();
         let (changed, count) = {
-            let mut throttle = shared.throttle();
+            let mut admission = shared.admission();
+            let throttle = &mut admission.throttle;
             (throttle.merge(notices, now), throttle.count())
         };
         shared.metrics.rate_limits.set_upstreams(count);
@@ -70,7 +71,8 @@
 
     /// Sends all known limits to `target`.
     pub(super) fn send_all_rate_limits(&self, target: &peer::Target) {
-        let notices = self.context.shared.throttle().notices(self.now());
+        let now = self.now();
+        let notices = self.context.shared.admission().throttle.notices(now);
         self.send_rate_limits(std::slice::from_ref(target), &notices);
     }
 
--- a/crates/cloverpost/src/gateway/control/rejections.rs
+++ b/crates/cloverpost/src/gateway/control/rejections.rs
@@ -30,7 +30,7 @@
 impl<C: Codec, S: Store> State<C, S> {
     /// Sends news of this VM.
     pub(super) fn share_rejections(&self) {
-        let news = self.context.shared.fragile().take_news();
+        let news = self.context.shared.admission().fragile.take_news();
         if self.is_watcher() {
             self.send_rejections(&self.peers_of_zone(), &news);
             self.send_rejections(&self.watchers_of_other_zones(), &news);
@@ -42,7 +42,8 @@
     /// Merges notices of `from`. A watcher forwards them to its zone, and to the watchers of other
     /// zones if they come from its own.
     pub(super) fn merge_rejections(&self, from: &id::Vm, notices: Vec<Notice>) {
-        let forwarded = self.context.shared.fragile().merge(notices, self.now());
+        let now = self.now();
+        let forwarded = self.context.shared.admission().fragile.merge(notices, now);
         for notice in &forwarded {
             log::info!(
                 service = notice.service.as_str(), limit:% = notice.limit, peer = from.as_str();
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -230,9 +230,7 @@
         let members = members.rows.values().map(|row| &row.value);
         let senders = quota::Senders::new(own, members);
         let shared = &self.context.shared;
-        shared.cold().set_senders(senders.clone());
-        shared.fragile().set_senders(senders.clone());
-        shared.throttle().set_senders(senders, self.now());
+        shared.admission().set_senders(senders, self.now());
         let peers = self.image.members.rows.values().map(|row| &row.value);
         let peers = peers.filter(|member| member.vm != self.context.own.vm);
         let peers: Vec<_> = peers.cloned().collect();
--- a/crates/cloverpost/src/gateway/pushback.rs
+++ b/crates/cloverpost/src/gateway/pushback.rs
@@ -19,7 +19,8 @@
 ) {
     let now = shared.clock.now();
     let (block, age) = {
-        let pushback = shared.pushback();
+        let admission = shared.admission();
+        let pushback = &admission.pushback;
         (
             pushback.block(&upstream.id, now),
             pushback.age(&upstream.id, now),
@@ -55,7 +56,10 @@
 
 fn record_leaving<C: Codec>(shared: &Shared<C>, job: &Job, upstream: &directory::Upstream) {
     let now = shared.clock.now();
-    if !shared.pushback().record_leaving(&upstream.id, now) {
+    let is_new = { shared.admission() }
+        .pushback
+        .record_leaving(&upstream.id, now);
+    if !is_new {
         return;
     }
     // Requests in flight keep their connections.
@@ -75,7 +79,9 @@
 ) {
     let now = shared.clock.now();
     let draw = rand::random();
-    let is_new = shared.pushback().record_rest(&upstream.id, rest, draw, now);
+    let is_new = { shared.admission() }
+        .pushback
+        .record_rest(&upstream.id, rest, draw, now);
     if !is_new {
         return;
     }
@@ -91,7 +97,8 @@
 pub fn record_ends<C: Codec>(shared: &Shared<C>) {
     let now = shared.clock.now();
     let (ended, counts) = {
-        let mut pushback = shared.pushback();
+        let mut admission = shared.admission();
+        let pushback = &mut admission.pushback;
         let counts = Block::ALL.map(|block| (block, pushback.count(block, now)));
         (pushback.take_ended(now), counts)
     };
--- a/crates/cloverpost/src/gateway/rate_limits.rs
+++ b/crates/cloverpost/src/gateway/rate_limits.rs
@@ -16,7 +16,7 @@
     kind: &'static str,
 ) {
     let now = shared.clock.now();
-    let Some(rate) = shared.throttle().rate(&upstream.id, now) else {
+    let Some(rate) = shared.admission().throttle.rate(&upstream.id, now) else {
         return;
     };
     let sends = &shared.metrics.rate_limits.sends;
@@ -44,7 +44,8 @@
     let now = shared.clock.now();
     let now_ms = shared.store_now_ms();
     let (change, count) = {
-        let mut throttle = shared.throttle();
+        let mut admission = shared.admission();
+        let throttle = &mut admission.throttle;
         let change = throttle.record_response(&upstream.id, stated, sent, now, now_ms);
         (change, throttle.count())
     };
--- a/crates/cloverpost/src/gateway/rejection_limits.rs
+++ b/crates/cloverpost/src/gateway/rejection_limits.rs
@@ -24,15 +24,17 @@
         log_change(job, upstream, change);
     }
     if !is_rejection {
-        shared.fragile().record_response(upstream);
+        shared.admission().fragile.record_response(upstream);
         return;
     }
     // The rejected request still has its slot.
     let accepted = shared.balancer().in_flight(&upstream.id).saturating_sub(1);
-    let mut fragile = shared.fragile();
-    let is_news = fragile.record_rejection(upstream, accepted, now);
-    let limit = fragile.limit(&upstream.service);
-    drop(fragile);
+    let (is_news, limit) = {
+        let mut admission = shared.admission();
+        let fragile = &mut admission.fragile;
+        let is_news = fragile.record_rejection(upstream, accepted, now);
+        (is_news, fragile.limit(&upstream.service))
+    };
     if is_news {
         shared.rejection_news.notify_one();
     }
@@ -57,7 +59,8 @@
 ) -> Option<Change> {
     let stated = stated_limit::read(job, upstream, stated, is_rejection).ok()?;
     let now = shared.clock.now();
-    let mut fragile = shared.fragile();
+    let mut admission = shared.admission();
+    let fragile = &mut admission.fragile;
     let change = fragile.record_statement(&job.service, stated, sent, now);
     shared.metrics.fragile.set_services(fragile.count());
     change
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -4,11 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use cloverpost_core::admission::Gate;
 use cloverpost_core::balance::{Balancer, Criteria};
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
 use cloverpost_core::dispatch::Dispatch;
 use cloverpost_core::refusal::Refusal;
-use cloverpost_core::{cold, exposure, fragile, id, throttle, time};
+use cloverpost_core::{admission, exposure, id, throttle, time};
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
@@ -43,15 +44,10 @@
     let view = shared.view.load();
     let pool = view.pools.get(&job.service)?;
     let now = shared.clock.now();
-    let mut cold = shared.cold();
-    let mut throttle = shared.throttle();
-    let mut fragile = shared.fragile();
-    let is_fragile = fragile.limit(&job.service).is_some();
-    if is_fragile {
-        let load = total_load(&shared.balancer(), pool, now);
-        fragile.prepare(&job.service, pool.upstreams.iter(), load, now);
-    }
-    let filter = version_filter(shared, job, pool, &cold, &throttle);
+    let mut admission = shared.admission();
+    admission.prepare(&job.service, pool, &shared.balancer(), now);
+    let filter = version_filter(shared, job, pool, &admission);
+    let candidates = candidates(shared, job, pool, &filter);
     let settings = shared.settings.load();
     let speed = shared.speed();
     let criteria = Criteria {
@@ -63,51 +59,18 @@
         draw: rand::random(),
     };
     drop(speed);
-    let load_test_upstreams = load_test_upstreams(shared, job, pool, &filter);
-    let is_in_load_test = |upstream: &Upstream| {
-        load_test_upstreams
-            .as_ref()
-            .is_none_or(|ids| ids.contains(&upstream.id))
-    };
-    let usable = || {
-        let upstreams = pool
-            .upstreams
-            .iter()
-            .filter(|upstream| filter.matches(upstream));
-        upstreams.filter(|upstream| is_in_load_test(upstream))
-    };
-    let balancer = shared.balancer();
-    let has_place = |one: &Upstream| fragile.has_place(one, balancer.in_flight(&one.id), now);
-    // What an upstream states binds always, what it is suspected of only while others are left.
-    let usable = || usable().filter(|upstream| throttle.admits(&upstream.id, now));
-    let is_placed = !is_fragile
-        || usable().any(|upstream| !tried.contains(&upstream.id) && has_place(upstream));
-    let is_light = !is_placed && is_light(&fragile, pool, &job.service, now);
-    let fits = |one: &Upstream| {
-        !is_fragile || fragile.admits(one, load(&balancer, &one.id, now), is_light, now)
-    };
-    let usable = || usable().filter(|upstream| fits(upstream));
-    let admitted = || usable().filter(|upstream| cold.admits(&upstream.id, now));
-    let preferred = admitted().filter(|upstream| {
-        throttle.prefers(&upstream.id, now) && balancer.is_available(&upstream.id, now)
-    });
-    let preferred = match crashes::spread_key(shared, job) {
-        Some(key) => choose_spread(preferred, key, tried),
-        None => balancer.choose(preferred, &criteria, now),
-    };
-    let chosen = preferred.or_else(|| balancer.choose(admitted(), &criteria, now));
-    let chosen = chosen.or_else(|| {
-        let last_resort = usable().filter(|upstream| cold.admits_as_last_resort(&upstream.id, now));
-        balancer.choose(last_resort, &criteria, now)
-    });
-    drop(balancer);
-    let chosen = chosen?.clone();
-    cold.record_send(&chosen.id, now);
-    drop(cold);
-    throttle.record_send(&chosen.id, now);
-    drop(throttle);
-    fragile.record_send(&chosen, now);
-    drop(fragile);
+    let spread_key = crashes::spread_key(shared, job);
+    let chosen = {
+        let balancer = shared.balancer();
+        let mut gate = admission.gate(&job.service, &balancer, now);
+        let mut untried = candidates.iter().filter(|one| !tried.contains(&one.id));
+        if !untried.any(|one| gate.has_place(one)) {
+            gate = gate.with_excess(&job.service, pool);
+        }
+        choose(&gate, &balancer, &candidates, &criteria, spread_key, now).cloned()
+    }?;
+    admission.record_send(&chosen, now);
+    drop(admission);
     if let Some(session) = job.head.session {
         // Recorded outside rollouts too: a session that started before a rollout keeps
         // its version until all requests go to the new one.
@@ -116,6 +79,48 @@
     Some(chosen)
 }
 
+/// The upstreams of `pool` that `filter` and the load test of a rollout leave.
+fn candidates<'a, C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    pool: &'a Pool,
+    filter: &VersionFilter,
+) -> Vec<&'a Arc<Upstream>> {
+    let load_test_upstreams = load_test_upstreams(shared, job, pool, filter);
+    let is_in_load_test = |upstream: &Upstream| {
+        load_test_upstreams
+            .as_ref()
+            .is_none_or(|ids| ids.contains(&upstream.id))
+    };
+    let upstreams = pool.upstreams.iter();
+    upstreams
+        .filter(|upstream| filter.matches(upstream) && is_in_load_test(upstream))
+        .collect()
+}
+
+/// Chooses among the candidates that `gate` admits, those that it prefers first.
+fn choose<'a>(
+    gate: &Gate<'_>,
+    balancer: &Balancer,
+    candidates: &[&'a Arc<Upstream>],
+    criteria: &Criteria<'_>,
+    spread_key: Option<u64>,
+    now: time::Moment,
+) -> Option<&'a Arc<Upstream>> {
+    let candidates = || candidates.iter().copied();
+    let admitted = || candidates().filter(|upstream| gate.admits(upstream));
+    let preferred = admitted().filter(|upstream| gate.prefers(upstream));
+    let preferred = match spread_key {
+        Some(key) => choose_spread(preferred, key, criteria.tried),
+        None => balancer.choose(preferred, criteria, now),
+    };
+    let chosen = preferred.or_else(|| balancer.choose(admitted(), criteria, now));
+    chosen.or_else(|| {
+        let last_resort = candidates().filter(|upstream| gate.admits_as_last_resort(upstream));
+        balancer.choose(last_resort, criteria, now)
+    })
+}
+
 /// Chooses among `upstreams` by a hash of `key`.
 ///
 /// By load, the requests that an upstream's crash ended would all go to the same next upstream, and
@@ -133,34 +138,6 @@
     })
 }
 
-/// Whether the upstreams of `service` are likely to accept requests beyond the shares of this VM.
-fn is_light(
-    fragile: &fragile::Register,
-    pool: &Pool,
-    service: &id::Pool,
-    now: time::Moment,
-) -> bool {
-    let slots = pool.upstreams.iter().map(|upstream| upstream.slots).sum();
-    fragile.is_light(service, slots, now)
-}
-
-/// What this VM knows of the requests on all upstreams of `pool`.
-fn total_load(balancer: &Balancer, pool: &Pool, now: time::Moment) -> fragile::Load {
-    let upstreams = pool.upstreams.iter();
-    let loads = upstreams.map(|upstream| load(balancer, &upstream.id, now));
-    loads.reduce(fragile::Load::plus).unwrap_or_default()
-}
-
-/// What this VM knows of the requests on `upstream`.
-fn load(balancer: &Balancer, upstream: &id::Upstream, now: time::Moment) -> fragile::Load {
-    let own = balancer.in_flight(upstream);
-    let peers = balancer.in_flight_of_peers(upstream, now);
-    fragile::Load {
-        own,
-        zone: peers.map(|peers| own + peers),
-    }
-}
-
 /// Whether an upstream takes another attempt of `job` now.
 pub fn has_upstream<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
     let view = shared.view.load();
@@ -168,25 +145,13 @@
         return false;
     };
     let now = shared.clock.now();
-    let cold = shared.cold();
-    let throttle = shared.throttle();
-    let filter = version_filter(shared, job, pool, &cold, &throttle);
-    let mut usable = pool
-        .upstreams
-        .iter()
-        .filter(|upstream| filter.matches(upstream));
-    let fragile = shared.fragile();
+    let admission = shared.admission();
+    let filter = version_filter(shared, job, pool, &admission);
     let balancer = shared.balancer();
-    let is_light = is_light(&fragile, pool, &job.service, now);
-    let is_fragile = fragile.limit(&job.service).is_some();
-    let fits = |one: &Upstream| {
-        !is_fragile || fragile.admits(one, load(&balancer, &one.id, now), is_light, now)
-    };
-    usable.any(|upstream| {
-        throttle.admits(&upstream.id, now)
-            && fits(upstream)
-            && cold.admits_as_last_resort(&upstream.id, now)
-    })
+    let gate = admission.gate(&job.service, &balancer, now);
+    let gate = gate.with_excess(&job.service, pool);
+    let mut usable = pool.upstreams.iter().filter(|one| filter.matches(one));
+    usable.any(|upstream| gate.admits_as_last_resort(upstream))
 }
 
 /// Whether `job` can be sent again: the retry budget allows it, and an upstream takes it.
@@ -221,10 +186,8 @@
     if !stage.is_full_traffic(&tally(shared, job, pool, rollout)) {
         return None;
     }
-    let upstreams = pool
-        .upstreams
-        .iter()
-        .filter(|upstream| filter.matches(upstream));
+    let upstreams = pool.upstreams.iter();
+    let upstreams = upstreams.filter(|one| filter.matches(one));
     let mut ids: Vec<_> = upstreams.map(|upstream| upstream.id.clone()).collect();
     ids.sort_unstable();
     ids.truncate(ids.len().div_ceil(LOAD_TEST_DIVISOR));
@@ -301,11 +264,13 @@
 ) -> Refusal {
     let view = shared.view.load();
     let now = shared.clock.now();
-    let cold = shared.cold();
-    let pool = view.pools.get(&job.service).into_iter();
-    let upstreams = pool.flat_map(|pool| &pool.upstreams);
-    let warm_up_times = upstreams.map(|upstream| cold.time_until_warm(&upstream.id, now));
-    let warm_up_time = warm_up_times.min().filter(|time| !time.is_zero());
+    let warm_up_time = {
+        let admission = shared.admission();
+        let pool = view.pools.get(&job.service).into_iter();
+        let upstreams = pool.flat_map(|pool| &pool.upstreams);
+        let times = upstreams.map(|upstream| admission.cold.time_until_warm(&upstream.id, now));
+        times.min().filter(|time| !time.is_zero())
+    };
     Refusal {
         opens_after: warm_up_time.or_else(|| time_until_return(shared, job)),
         ..dispatch.no_upstream()
@@ -335,14 +300,15 @@
     let view = shared.view.load();
     let upstreams = view.pools.get(service).into_iter();
     let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
-    shared.fragile().rate(service, upstreams)
+    shared.admission().fragile.rate(service, upstreams)
 }
 
 /// The sum of the rate limits that upstreams of `service` state; `None` if none does.
 pub fn stated_rate<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> Option<throttle::Rate> {
     let view = shared.view.load();
     let now = shared.clock.now();
-    let throttle = shared.throttle();
+    let admission = shared.admission();
+    let throttle = &admission.throttle;
     let upstreams = view.pools.get(service).into_iter();
     let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
     let rates = upstreams.filter_map(|upstream| throttle.rate(&upstream.id, now));
@@ -356,7 +322,8 @@
 pub fn count_cold_upstreams<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> usize {
     let view = shared.view.load();
     let now = shared.clock.now();
-    let cold = shared.cold();
+    let admission = shared.admission();
+    let cold = &admission.cold;
     let upstreams = view.pools.get(service).into_iter();
     let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
     upstreams
@@ -376,14 +343,13 @@
     shared: &Shared<C>,
     job: &Job,
     pool: &Pool,
-    cold: &cold::Register,
-    throttle: &throttle::Register,
+    admission: &admission::Register,
 ) -> VersionFilter {
     match &pool.allowed {
         Allowed::Any => VersionFilter::Any,
         Allowed::Only(version) => VersionFilter::Only(version.clone()),
         Allowed::Except(version) => VersionFilter::Except(version.clone()),
-        Allowed::Rollout(rollout) => rollout_filter(shared, job, pool, rollout, cold, throttle),
+        Allowed::Rollout(rollout) => rollout_filter(shared, job, pool, rollout, admission),
     }
 }
 
@@ -394,8 +360,7 @@
     job: &Job,
     pool: &Pool,
     rollout: &Rollout,
-    cold: &cold::Register,
-    throttle: &throttle::Register,
+    admission: &admission::Register,
 ) -> VersionFilter {
     pin_session(shared, job, rollout);
     let now = shared.clock.now();
@@ -404,14 +369,14 @@
             .iter()
             .any(|upstream| filter.matches(upstream))
     };
-    // All upstreams of a new version start cold. While none admits this request, the old
-    // version serves it.
+    // All upstreams of a new version start cold, and those of one that is withdrawn leave. While none
+    // admits this request, the old version serves it.
     let admits = |filter: &VersionFilter| {
         let mut upstreams = pool
             .upstreams
             .iter()
             .filter(|upstream| filter.matches(upstream));
-        upstreams.any(|upstream| cold.admits(&upstream.id, now))
+        upstreams.any(|one| admission.cold.admits(&one.id, now))
     };
     let new = VersionFilter::Only(rollout.target.clone());
     let base = rollout.base.clone().map(VersionFilter::Only).filter(has);
@@ -427,9 +392,9 @@
         .upstreams
         .iter()
         .filter(|upstream| new.matches(upstream));
-    // While the new version's upstreams are at the rates that they state, only the sessions that run
-    // on it have to wait for them.
-    let takes_more = candidates.any(|upstream| throttle.admits(&upstream.id, now));
+    // While the new version's upstreams rest or are at the rates that they state, only the sessions
+    // that run on it have to wait for them.
+    let takes_more = candidates.any(|upstream| admission.is_open(&upstream.id, now));
     let uses_new = uses_new_version(shared, job, pool, rollout);
     if uses_new && (takes_more || runs_on(shared, job, &rollout.target, now)) {
         new
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    balance, budget, cold, directory, escalation, exposure, fragile, id, path, poison, pushback,
-    quota, throttle, time,
+    admission, balance, budget, directory, escalation, exposure, id, path, poison, quota, throttle,
+    time,
 };
 use tokio::sync::{Notify, watch};
 
@@ -72,11 +72,8 @@
     helpers: Mutex<path::Helpers>,
     loss_checks: Mutex<LossChecks>,
     speed: Mutex<balance::Speed>,
-    cold: Mutex<cold::Register>,
-    throttle: Mutex<throttle::Register>,
+    admission: Mutex<admission::Register>,
     returns: Mutex<throttle::Returns>,
-    fragile: Mutex<fragile::Register>,
-    pushback: Mutex<pushback::Register>,
     /// Notified when other VMs should be told of rejections.
     pub rejection_news: Notify,
     sizes: Mutex<escalation::Sizes>,
@@ -108,9 +105,7 @@
         };
         let balancer = balance::Balancer::new(settings.choice);
         let senders = quota::Senders::new(settings.vm.clone(), std::iter::empty());
-        let cold = cold::Register::new(settings.cold, senders.clone());
-        let throttle = throttle::Register::new(settings.throttle, senders.clone());
-        let fragile = fragile::Register::new(senders);
+        let admission = admission::Register::new(settings.cold, settings.throttle, senders);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -131,11 +126,8 @@
             helpers: Mutex::default(),
             loss_checks: Mutex::default(),
             speed: Mutex::default(),
-            cold: Mutex::new(cold),
-            throttle: Mutex::new(throttle),
+            admission: Mutex::new(admission),
             returns: Mutex::default(),
-            fragile: Mutex::new(fragile),
-            pushback: Mutex::default(),
             rejection_news: Notify::new(),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
@@ -190,14 +182,9 @@
         lock(&self.speed)
     }
 
-    /// Cold upstreams and the requests sent to them.
-    pub fn cold(&self) -> MutexGuard<'_, cold::Register> {
-        lock(&self.cold)
-    }
-
-    /// Rate limits that upstreams state.
-    pub fn throttle(&self) -> MutexGuard<'_, throttle::Register> {
-        lock(&self.throttle)
+    /// What upstreams say of themselves. Locked before [`Self::balancer`] where both are needed.
+    pub fn admission(&self) -> MutexGuard<'_, admission::Register> {
+        lock(&self.admission)
     }
 
     /// When rejected callers may return to services whose upstreams state limits.
@@ -205,16 +192,6 @@
         lock(&self.returns)
     }
 
-    /// Services whose upstreams fail when they reject too many requests.
-    pub fn fragile(&self) -> MutexGuard<'_, fragile::Register> {
-        lock(&self.fragile)
-    }
-
-    /// Upstreams that asked this VM to send nothing.
-    pub fn pushback(&self) -> MutexGuard<'_, pushback::Register> {
-        lock(&self.pushback)
-    }
-
     /// Typical request sizes by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
@@ -352,9 +329,7 @@
     /// Discards what was learned about `upstream` after a restart under the same id.
     fn reset_upstream(&self, upstream: &id::Upstream) {
         self.balancer().restart(upstream);
-        self.throttle().restart(upstream, self.clock.now());
-        self.fragile().restart(upstream);
-        self.pushback().restart(upstream);
+        self.admission().restart(upstream, self.clock.now());
         self.pool.close_idle(upstream);
     }
 
@@ -370,7 +345,9 @@
             self.reset_upstream(&upstream.id);
         }
         let last = self.view.load();
-        for (upstream, time) in self.cold().apply_view(&last, &view, self.clock.now()) {
+        let now = self.clock.now();
+        let newly_cold = self.admission().cold.apply_view(&last, &view, now);
+        for (upstream, time) in newly_cold {
             let cold_ms = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
             log::info!(upstream = upstream.as_str(), cold_ms; "upstream is cold and gets little work");
         }
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -86,8 +86,14 @@
         let now = self.shared.clock.now();
         let is_excluded = self.with_balancer(|balancer, id| balancer.record(id, event, now));
         match event {
-            Event::Began(_) => self.shared.cold().record_response(&self.upstream.id, now),
-            Event::Refused | Event::Silent => self.shared.cold().suspect(&self.upstream, now),
+            Event::Began(_) => self
+                .shared
+                .admission()
+                .cold
+                .record_response(&self.upstream.id, now),
+            Event::Refused | Event::Silent => {
+                self.shared.admission().cold.suspect(&self.upstream, now);
+            }
             _ => {}
         }
         if is_excluded == Some(true) {
@@ -122,7 +128,8 @@
         self.with_balancer(balance::Balancer::request_ended);
         let held = self.shared.clock.now().since(self.acquired);
         self.shared
-            .fragile()
+            .admission()
+            .fragile
             .record_end(&self.upstream.service, held);
         if !self.has_ended.load(Ordering::Relaxed) {
             crashes::record_given_up(&self.shared, &self.profile, &self.upstream);
