fix(cloverpost): an upstream that says that it leaves gets no more requests

What callers saw: requests went to upstreams that had said in their responses that they leave, 2.8 and 3.2 s after the VM had passed that on, since the store acknowledged the leaving 12 s later and VMs went by its row alone.

Requests in flight end where they are. Other VMs are not told: each learns from its first response, which is served, so a message would spare no caller anything.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -97,7 +97,6 @@
     let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), job.profile(), work);
     selection::count_send(shared, job, upstream);
     rate_limits::record_send(shared, job, upstream, options.kind());
-    pushback::record_send(shared, job, upstream, options.kind());
     let sent = shared.clock.now();
     let result = exchange(shared, job, slot, options).await;
     record_result(shared, job, upstream, options, sent, &result);
@@ -127,6 +126,11 @@
         slot.end();
         return Err(Failure::NotSent);
     }
+    if pushback::is_blocked(shared, job, &slot.upstream, options.kind()) {
+        slot.end();
+        shared.pool.put_back(connection);
+        return Err(Failure::NotSent);
+    }
     let request = build_request(shared, job, &slot.upstream, options);
     let response = connection.sender.try_send_request(request);
     let response = tokio::select! {
--- a/crates/cloverpost/src/gateway/metrics/pushback.rs
+++ b/crates/cloverpost/src/gateway/metrics/pushback.rs
@@ -8,8 +8,8 @@
 pub struct Pushback {
     /// Times that an upstream began to ask for it, by reason.
     pub asked: IntCounterVec,
-    /// Attempts sent all the same, by service, reason and kind.
-    pub sends: IntCounterVec,
+    /// Attempts whose upstream asked before the request was sent, by service, reason and kind.
+    pub withheld: IntCounterVec,
     /// Upstreams that get no requests now, by reason.
     upstreams: IntGaugeVec,
 }
@@ -21,18 +21,18 @@
             "pushback_asked_total",
             "times that an upstream began to ask for no requests, by reason",
         );
-        let sends = Opts::new(
-            "pushback_sends_total",
-            "sends to upstreams that had asked for none, by kind of send",
+        let withheld = Opts::new(
+            "pushback_withheld_total",
+            "attempts whose upstream asked for none before they were sent, by kind",
         );
         let upstreams = Opts::new(
             "pushback_upstreams",
             "upstreams that get no requests since they asked for none, by reason",
         );
-        let sends = IntCounterVec::new(sends, &["service", "block", "kind"]);
+        let withheld = IntCounterVec::new(withheld, &["service", "block", "kind"]);
         Self {
             asked: crate::metrics::register(registry, IntCounterVec::new(asked, &["block"])),
-            sends: crate::metrics::register(registry, sends),
+            withheld: crate::metrics::register(registry, withheld),
             upstreams: crate::metrics::register(registry, IntGaugeVec::new(upstreams, &["block"])),
         }
     }
--- a/crates/cloverpost/src/gateway/pushback.rs
+++ b/crates/cloverpost/src/gateway/pushback.rs
@@ -10,13 +10,14 @@
 use crate::gateway::job::Job;
 use crate::gateway::response;
 
-/// Counts and logs a send to `upstream` if it asked for none.
-pub fn record_send<C: Codec>(
+/// Whether `upstream`, which was selected for `job`, has asked for no requests since, as the request
+/// waited for a connection. `kind` is that of the attempt.
+pub fn is_blocked<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
     kind: &'static str,
-) {
+) -> bool {
     let now = shared.clock.now();
     let (block, age) = {
         let admission = shared.admission();
@@ -26,17 +27,18 @@
             pushback.age(&upstream.id, now),
         )
     };
-    let Some(block) = block else {
-        return;
+    let Some(block) = block.filter(|block| *block == Block::Leaving) else {
+        return false;
     };
-    let sends = &shared.metrics.pushback.sends;
+    let withheld = &shared.metrics.pushback.withheld;
     let labels = [job.service.as_str(), block.as_str(), kind];
-    sends.with_label_values(&labels).inc();
-    log::warn!(
+    withheld.with_label_values(&labels).inc();
+    log::info!(
         id = job.head.id.as_str(), upstream = upstream.id.as_str(), block:%, kind,
         age_ms = response::millis(age.unwrap_or_default());
-        "request is sent to an upstream that asked for none"
+        "the upstream asked for no requests as this one waited for a connection"
     );
+    true
 }
 
 /// Records what `upstream` asks for in a response.
@@ -56,7 +58,8 @@
 
 fn record_leaving<C: Codec>(shared: &Shared<C>, job: &Job, upstream: &directory::Upstream) {
     let now = shared.clock.now();
-    let is_new = { shared.admission() }
+    let is_new = shared
+        .admission()
         .pushback
         .record_leaving(&upstream.id, now);
     if !is_new {
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use cloverpost_core::pushback::Block;
 use cloverpost_core::refusal::{Code, Refusal};
 use cloverpost_core::{directory, time};
 use futures_util::Stream;
@@ -260,12 +261,15 @@
 ) {
     let (taken, places) = selection::occupancy(shared, &job.service);
     let cold = selection::count_cold_upstreams(shared, &job.service);
+    let leaving = selection::count_blocked(shared, &job.service, Block::Leaving);
+    let resting = selection::count_blocked(shared, &job.service, Block::Resting);
     let evacuated = shared.view.load().evacuated.len();
     let limit = selection::stated_rate(shared, &job.service);
     let limit = limit.map_or_else(String::new, |rate| rate.to_string());
     log::info!(
         id = job.head.id.as_str(), code = refusal.code.as_str(), ran:% = refusal.ran,
-        why = refusal.message.as_str(), service = job.service.as_str(), taken, places, cold, evacuated, limit;
+        why = refusal.message.as_str(), service = job.service.as_str(), taken, places, cold, leaving, resting,
+        evacuated, limit;
         "no upstream answered"
     );
     record_job_end(shared, job, refusal.code.as_str(), response);
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -8,6 +8,7 @@
 use cloverpost_core::balance::{Balancer, Criteria};
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
 use cloverpost_core::dispatch::Dispatch;
+use cloverpost_core::pushback::Block;
 use cloverpost_core::refusal::Refusal;
 use cloverpost_core::{admission, exposure, id, throttle, time};
 
@@ -47,7 +48,7 @@
     let mut admission = shared.admission();
     admission.prepare(&job.service, pool, &shared.balancer(), now);
     let filter = version_filter(shared, job, pool, &admission);
-    let candidates = candidates(shared, job, pool, &filter);
+    let candidates = candidates(shared, job, pool, &filter, &admission);
     let settings = shared.settings.load();
     let speed = shared.speed();
     let criteria = Criteria {
@@ -85,8 +86,9 @@
     job: &Job,
     pool: &'a Pool,
     filter: &VersionFilter,
+    admission: &admission::Register,
 ) -> Vec<&'a Arc<Upstream>> {
-    let load_test_upstreams = load_test_upstreams(shared, job, pool, filter);
+    let load_test_upstreams = load_test_upstreams(shared, job, pool, filter, admission);
     let is_in_load_test = |upstream: &Upstream| {
         load_test_upstreams
             .as_ref()
@@ -173,6 +175,7 @@
     job: &Job,
     pool: &Pool,
     filter: &VersionFilter,
+    admission: &admission::Register,
 ) -> Option<Vec<id::Upstream>> {
     let Allowed::Rollout(rollout) = &pool.allowed else {
         return None;
@@ -186,8 +189,9 @@
     if !stage.is_full_traffic(&tally(shared, job, pool, rollout)) {
         return None;
     }
+    let asks_for_none = |one: &Upstream| admission.pushback.is_leaving(&one.id);
     let upstreams = pool.upstreams.iter();
-    let upstreams = upstreams.filter(|one| filter.matches(one));
+    let upstreams = upstreams.filter(|one| filter.matches(one) && !asks_for_none(one));
     let mut ids: Vec<_> = upstreams.map(|upstream| upstream.id.clone()).collect();
     ids.sort_unstable();
     ids.truncate(ids.len().div_ceil(LOAD_TEST_DIVISOR));
@@ -262,21 +266,26 @@
     job: &Job,
     dispatch: &Dispatch,
 ) -> Refusal {
-    let view = shared.view.load();
-    let now = shared.clock.now();
-    let warm_up_time = {
-        let admission = shared.admission();
-        let pool = view.pools.get(&job.service).into_iter();
-        let upstreams = pool.flat_map(|pool| &pool.upstreams);
-        let times = upstreams.map(|upstream| admission.cold.time_until_warm(&upstream.id, now));
-        times.min().filter(|time| !time.is_zero())
-    };
+    let wait = time_until_open(shared, job).filter(|wait| !wait.is_zero());
     Refusal {
-        opens_after: warm_up_time.or_else(|| time_until_return(shared, job)),
+        opens_after: wait.or_else(|| time_until_return(shared, job)),
         ..dispatch.no_upstream()
     }
 }
 
+/// Time until the first upstream that may serve `job` is not cold; `None` if there is no upstream that
+/// does not leave.
+fn time_until_open<C: Codec>(shared: &Shared<C>, job: &Job) -> Option<Duration> {
+    let view = shared.view.load();
+    let pool = view.pools.get(&job.service)?;
+    let now = shared.clock.now();
+    let admission = shared.admission();
+    let filter = version_filter(shared, job, pool, &admission);
+    let upstreams = pool.upstreams.iter().filter(|one| filter.matches(one));
+    let waits = upstreams.filter_map(|one| admission.time_until_open(&one.id, now));
+    waits.min()
+}
+
 /// When the caller of `job` may return; `None` if no upstream of its service states a limit.
 fn time_until_return<C: Codec>(shared: &Shared<C>, job: &Job) -> Option<Duration> {
     let now = shared.clock.now();
@@ -331,6 +340,19 @@
         .count()
 }
 
+/// Number of upstreams of `service` that get no requests for `block`.
+pub fn count_blocked<C: Codec>(shared: &Shared<C>, service: &id::Pool, block: Block) -> usize {
+    let view = shared.view.load();
+    let now = shared.clock.now();
+    let admission = shared.admission();
+    let pushback = &admission.pushback;
+    let upstreams = view.pools.get(service).into_iter();
+    let upstreams = upstreams.flat_map(|pool| &pool.upstreams);
+    upstreams
+        .filter(|upstream| pushback.block(&upstream.id, now) == Some(block))
+        .count()
+}
+
 /// Occupied slots and total slots on the upstreams of `service`.
 pub fn occupancy<C: Codec>(shared: &Shared<C>, service: &id::Pool) -> (u32, u32) {
     let view = shared.view.load();
@@ -376,7 +398,9 @@
             .upstreams
             .iter()
             .filter(|upstream| filter.matches(upstream));
-        upstreams.any(|one| admission.cold.admits(&one.id, now))
+        upstreams.any(|one| {
+            admission.cold.admits(&one.id, now) && !admission.pushback.is_leaving(&one.id)
+        })
     };
     let new = VersionFilter::Only(rollout.target.clone());
     let base = rollout.base.clone().map(VersionFilter::Only).filter(has);
@@ -392,7 +416,7 @@
         .upstreams
         .iter()
         .filter(|upstream| new.matches(upstream));
-    // While the new version's upstreams rest or are at the rates that they state, only the sessions
+    // While the new version's upstreams leave or are at the rates that they state, only the sessions
     // that run on it have to wait for them.
     let takes_more = candidates.any(|upstream| admission.is_open(&upstream.id, now));
     let uses_new = uses_new_version(shared, job, pool, rollout);
