fix(cloverpost): an upstream that asks for rest gets none of this VM's requests until it is over

What callers saw: upstreams that rejected a request and asked for 3 s of rest got up to 35 more from the same VM in that time; requests spent their attempts and the retry budget on upstreams that had just said no, and were rejected while two thirds of the upstreams had room. Cause: nobody read the field, and a rejection changed nothing in the choice.

Now the rest binds the VM for the process of the upstream, each way to it: the gate is closed until its end, of several the latest. All that were turned away in one second would return in one second, so each VM waits up to a quarter longer and then sends one request, as many again each 200 ms. If all upstreams rest, requests are rejected at once, not run, with the time at which the first is open again, spread over up to a second where the caller waits that long. During a rollout only sessions on the new version wait for it.

Tunnels: the upstream sees the VM that the tunnel leads through. That VM opens none to an upstream that asked it for no requests, connections through it are reused for 400 ms, and it is told of what the upstream said behind its tunnel.

--- a/crates/cloverpost-core/src/admission/register.rs
+++ b/crates/cloverpost-core/src/admission/register.rs
@@ -72,14 +72,14 @@
     /// Whether `upstream` takes a request now, by what it states of itself.
     #[must_use]
     pub fn is_open(&self, upstream: &id::Upstream, now: time::Moment) -> bool {
-        !self.pushback.is_leaving(upstream) && self.throttle.admits(upstream, now)
+        self.pushback.admits(upstream, now) && self.throttle.admits(upstream, now)
     }
 
-    /// Time until `upstream` is not cold; `None` if it leaves.
+    /// Time until `upstream` is neither resting nor cold; `None` if it leaves.
     #[must_use]
     pub fn time_until_open(&self, upstream: &id::Upstream, now: time::Moment) -> Option<Duration> {
-        let is_leaving = self.pushback.is_leaving(upstream);
-        (!is_leaving).then(|| self.cold.time_until_warm(upstream, now))
+        let rest = self.pushback.time_until_open(upstream, now)?;
+        Some(rest.max(self.cold.time_until_warm(upstream, now)))
     }
 
     /// Records a request that is sent to `upstream`.
--- a/crates/cloverpost-core/src/pushback/mod.rs
+++ b/crates/cloverpost-core/src/pushback/mod.rs
@@ -9,8 +9,10 @@
 //! request, two more a moment later, and so on until it sends as usual.
 
 mod block;
+mod notice;
 mod register;
 mod rest;
 
 pub use block::Block;
+pub use notice::Notice;
 pub use register::Register;
--- a/crates/cloverpost-wire/src/message.rs
+++ b/crates/cloverpost-wire/src/message.rs
@@ -1,8 +1,8 @@
 //! Messages between VMs.
 
 use cloverpost_core::{
-    balance, billing, directory, evidence, exposure, fragile, membership, poison, rollout, spread,
-    throttle,
+    balance, billing, directory, evidence, exposure, fragile, membership, poison, pushback,
+    rollout, spread, throttle,
 };
 
 use crate::hello;
@@ -39,6 +39,8 @@
     Tunnel(directory::Tunnel),
     /// Rejections of fragile upstreams.
     Fragile(Vec<fragile::Notice>),
+    /// What an upstream asked for behind a tunnel.
+    Pushback(pushback::Notice),
 }
 
 impl Message {
@@ -60,6 +62,7 @@
             Self::Throttle(_) => "rate_limits",
             Self::Tunnel(_) => "tunnels",
             Self::Fragile(_) => "rejections",
+            Self::Pushback(_) => "pushback",
         }
     }
 }
--- a/crates/cloverpost/src/control/dispatch.rs
+++ b/crates/cloverpost/src/control/dispatch.rs
@@ -31,7 +31,8 @@
             | Message::Balance(_)
             | Message::Throttle(_)
             | Message::Tunnel(_)
-            | Message::Fragile(_) => {
+            | Message::Fragile(_)
+            | Message::Pushback(_) => {
                 log::debug!("ignored message from {from}: only used in gateway mode");
             }
             Message::Hello(_) => log::debug!("ignored repeated hello from {from}"),
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -152,7 +152,7 @@
     let (head, body) = response.into_parts();
     connection.record_keep_alive(&head);
     let classification = shared.codec.classify_response(&job.head.id, &head);
-    statements::record(shared, job, &slot, sent, &head, classification);
+    statements::record(shared, job, &slot, &connection, sent, &head, classification);
     let (is_failure, confidence) = match classification {
         Classification::AtCapacity => {
             slot.record(Event::Full);
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -11,8 +11,8 @@
 use crate::gateway::codec::Codec;
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
-use crate::gateway::rollouts;
 use crate::gateway::store::Store;
+use crate::gateway::{pushback, rollouts};
 use crate::peer;
 
 /// Number of random peers notified of a change. With three, one of six VMs that has no contact with
@@ -214,6 +214,10 @@
                 self.merge_rejections(&incoming.from.vm, notices);
                 return;
             }
+            Message::Pushback(notice) => {
+                pushback::merge(&self.context.shared, &incoming.from.vm, &notice);
+                return;
+            }
             Message::Exposure(message) => {
                 self.merge_exposure(incoming.from.vm, message);
                 return;
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -285,7 +285,9 @@
     match opened {
         Ok(_) => Some(path::Answer::Connected),
         Err(tunnel::Error::Rejected(Rejection::UnknownUpstream)) => None,
-        Err(tunnel::Error::Rejected(Rejection::UpstreamDown)) => Some(path::Answer::OnlyOthers),
+        Err(tunnel::Error::Rejected(Rejection::UpstreamDown | Rejection::PushedBack)) => {
+            Some(path::Answer::OnlyOthers)
+        }
         Err(_) => Some(path::Answer::None),
     }
 }
@@ -326,7 +328,12 @@
     };
     let answers = ask_witnesses(shared, upstream, timeout);
     let (is_refused_alone, answers) = tokio::join!(is_refused_alone, answers);
-    if answers.iter().any(Result::is_ok) {
+    let pushed_back = tunnel::Error::Rejected(Rejection::PushedBack);
+    let is_reached = |answer: &Result<_, tunnel::Error>| match answer {
+        Ok(_) => true,
+        Err(error) => *error == pushed_back,
+    };
+    if answers.iter().any(is_reached) {
         record_broken(shared, upstream, dial::Error::Refused);
         return Loss::Path;
     }
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -29,6 +29,9 @@
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(300);
 /// Safety margin that is subtracted from a stated keep-alive timeout.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(1);
+/// Age after which a connection through another VM is not reused. That VM checks only as it opens the
+/// connection whether the upstream has asked it for no requests.
+const MAX_TUNNEL_AGE: Duration = Duration::from_millis(400);
 /// Limit of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -61,6 +64,7 @@
     via: Option<Via>,
     /// Keep-alive timeout that the upstream stated.
     keep_alive: Option<Duration>,
+    opened: time::Moment,
     driver: AbortHandle,
 }
 
@@ -171,6 +175,7 @@
             upstream: upstream.id.clone(),
             via,
             keep_alive: None,
+            opened: self.clock.now(),
             driver: driver.abort_handle(),
         })
     }
@@ -226,7 +231,11 @@
 impl IdleConnection {
     /// Whether the connection is closed or past its idle limit.
     fn is_expired(&self, now: time::Moment) -> bool {
-        self.connection.is_over() || now.since(self.since) >= self.max_idle(false)
+        let connection = &self.connection;
+        let is_old = now.since(connection.opened) >= MAX_TUNNEL_AGE;
+        connection.is_over()
+            || now.since(self.since) >= self.max_idle(false)
+            || connection.is_tunnelled() && is_old
     }
 
     /// Idle time up to which the connection may be reused.
--- a/crates/cloverpost/src/gateway/pushback.rs
+++ b/crates/cloverpost/src/gateway/pushback.rs
@@ -1,14 +1,17 @@
 //! Upstreams that asked this VM to send them nothing.
 
-use std::time::Duration;
+use std::sync::Arc;
 
-use cloverpost_core::directory;
-use cloverpost_core::pushback::Block;
+use cloverpost_core::pushback::{Block, Notice};
+use cloverpost_core::{directory, id};
+use cloverpost_wire::Message;
 
 use crate::gateway::Shared;
 use crate::gateway::codec::{Codec, Stated, Statements};
 use crate::gateway::job::Job;
+use crate::gateway::pool::Connection;
 use crate::gateway::response;
+use crate::peer;
 
 /// Whether `upstream`, which was selected for `job`, has asked for no requests since, as the request
 /// waited for a connection. `kind` is that of the attempt.
@@ -27,7 +30,7 @@
             pushback.age(&upstream.id, now),
         )
     };
-    let Some(block) = block.filter(|block| *block == Block::Leaving) else {
+    let Some(block) = block else {
         return false;
     };
     let withheld = &shared.metrics.pushback.withheld;
@@ -41,59 +44,93 @@
     true
 }
 
-/// Records what `upstream` asks for in a response.
+/// Records what `upstream` asks for in a response on `connection`. What it asks for behind a tunnel it
+/// asks of the VM that the tunnel leads through, too.
 pub fn record_response<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
+    connection: &Connection,
     statements: &Statements,
 ) {
-    if read(job, upstream, &statements.leaving).is_some_and(|is_leaving| is_leaving) {
-        record_leaving(shared, job, upstream);
+    let is_leaving = read(job, upstream, &statements.leaving).unwrap_or_default();
+    let rest = read(job, upstream, &statements.rest);
+    if !is_leaving && rest.is_none() {
+        return;
     }
-    if let Some(rest) = read(job, upstream, &statements.rest) {
-        record_rest(shared, job, upstream, rest);
+    let notice = Notice {
+        upstream: upstream.id.clone(),
+        born_ms: upstream.born_ms,
+        is_leaving,
+        rest,
+    };
+    record(shared, upstream, &notice, &job.head.id, "");
+    if let Some(vm) = connection.via() {
+        tell(shared, vm, notice);
     }
 }
 
-fn record_leaving<C: Codec>(shared: &Shared<C>, job: &Job, upstream: &directory::Upstream) {
-    let now = shared.clock.now();
-    let is_new = shared
-        .admission()
-        .pushback
-        .record_leaving(&upstream.id, now);
-    if !is_new {
+/// Records what an upstream asked of this VM in a response that `from` read behind a tunnel.
+pub fn merge<C: Codec>(shared: &Shared<C>, from: &id::Vm, notice: &Notice) {
+    let view = shared.view.load();
+    let mut upstreams = view.upstreams();
+    let is_meant = |one: &&Arc<directory::Upstream>| {
+        one.id == notice.upstream && one.born_ms == notice.born_ms
+    };
+    if let Some(upstream) = upstreams.find(is_meant) {
+        record(shared, upstream, notice, "", from.as_str());
+    }
+}
+
+/// Tells `vm` what an upstream asked of it behind its tunnel.
+fn tell<C: Codec>(shared: &Shared<C>, vm: &id::Vm, notice: Notice) {
+    let peers = shared.peers.load();
+    let peer = peers.iter().find(|member| member.vm == *vm);
+    let Some((links, peer)) = shared.links.get().zip(peer) else {
         return;
+    };
+    let target = peer::Target {
+        vm: vm.clone(),
+        address: peer.address,
+    };
+    let message = Message::Pushback(notice);
+    let messages = &shared.metrics.peers.messages;
+    messages.with_label_values(&[message.kind()]).inc();
+    if let Err(error) = links.send(&target, &message) {
+        log::debug!(peer:% = target, why:% = error; "failed to send a message to a peer");
     }
-    // Requests in flight keep their connections.
-    shared.pool.close_idle(&upstream.id);
-    record_block(shared, Block::Leaving);
-    log::info!(
-        id = job.head.id.as_str(), upstream = upstream.id.as_str(), service = upstream.service.as_str();
-        "the upstream says that it leaves"
-    );
 }
 
-fn record_rest<C: Codec>(
+/// Records `notice` of `upstream`. `id` is that of the request whose response has it, or `peer` the VM
+/// that told of it.
+fn record<C: Codec>(
     shared: &Shared<C>,
-    job: &Job,
     upstream: &directory::Upstream,
-    rest: Duration,
+    notice: &Notice,
+    id: &str,
+    peer: &str,
 ) {
     let now = shared.clock.now();
-    let draw = rand::random();
-    let is_new = { shared.admission() }
-        .pushback
-        .record_rest(&upstream.id, rest, draw, now);
-    if !is_new {
-        return;
+    let (is_leaving, is_resting) = {
+        let mut admission = shared.admission();
+        let pushback = &mut admission.pushback;
+        let is_leaving = notice.is_leaving && pushback.record_leaving(&upstream.id, now);
+        let rest = notice.rest.unwrap_or_default();
+        let is_resting = pushback.record_rest(&upstream.id, rest, rand::random(), now);
+        (is_leaving, is_resting)
+    };
+    let (service, upstream) = (upstream.service.as_str(), &upstream.id);
+    if is_leaving {
+        // Requests in flight keep their connections.
+        shared.pool.close_idle(upstream);
+        count_asked(shared, Block::Leaving);
+        log::info!(id, peer, upstream = upstream.as_str(), service; "the upstream says that it leaves");
+    }
+    if is_resting {
+        count_asked(shared, Block::Resting);
+        let rest_ms = response::millis(notice.rest.unwrap_or_default());
+        log::info!(id, peer, upstream = upstream.as_str(), service, rest_ms; "the upstream asks for rest");
     }
-    record_block(shared, Block::Resting);
-    log::info!(
-        id = job.head.id.as_str(), upstream = upstream.id.as_str(), service = upstream.service.as_str(),
-        rest_ms = response::millis(rest);
-        "the upstream asks for rest"
-    );
 }
 
 /// Logs the rests that have ended, and counts the upstreams that get no request.
@@ -116,7 +153,7 @@
     }
 }
 
-fn record_block<C: Codec>(shared: &Shared<C>, block: Block) {
+fn count_asked<C: Codec>(shared: &Shared<C>, block: Block) {
     let asked = &shared.metrics.pushback.asked;
     asked.with_label_values(&[block.as_str()]).inc();
 }
--- a/crates/cloverpost/src/gateway/response.rs
+++ b/crates/cloverpost/src/gateway/response.rs
@@ -9,11 +9,11 @@
 /// A response with its full body.
 pub type FullResponse = Response<Bytes>;
 
-/// Lower bound of the random part of `Retry-After`, in seconds.
-const RETRY_AFTER_MIN_SECS: f64 = 0.2;
-/// Upper bound of the random part of `Retry-After`, in seconds. The jitter keeps
-/// refused callers from retrying all at once.
-const RETRY_AFTER_MAX_SECS: f64 = 0.6;
+/// Lower bound of the random part of `Retry-After`.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
+/// Upper bound of the random part of `Retry-After`. The jitter keeps refused callers from
+/// retrying all at once.
+pub const RETRY_AFTER_MAX: Duration = Duration::from_millis(600);
 
 /// Whether the body of a response to a request with a method other than HEAD ends with its connection.
 pub fn is_unframed(head: &http::response::Parts) -> bool {
@@ -48,8 +48,9 @@
     );
     let may_return = refusal.code.retry_after().is_some() || refusal.opens_after.is_some();
     if refusal.ran == Ran::No && may_return {
-        let opens_after = refusal.opens_after.unwrap_or_default().as_secs_f64();
-        let seconds = opens_after + rand::random_range(RETRY_AFTER_MIN_SECS..RETRY_AFTER_MAX_SECS);
+        let jitter = rand::random_range(RETRY_AFTER_MIN..RETRY_AFTER_MAX);
+        let opens_after = refusal.opens_after.unwrap_or_default();
+        let seconds = opens_after.saturating_add(jitter).as_secs_f64();
         if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
             headers.insert(header::RETRY_AFTER, value);
         }
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -16,6 +16,7 @@
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
+use crate::gateway::response;
 
 /// Versions that a job may be sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -189,7 +190,8 @@
     if !stage.is_full_traffic(&tally(shared, job, pool, rollout)) {
         return None;
     }
-    let asks_for_none = |one: &Upstream| admission.pushback.is_leaving(&one.id);
+    let now = shared.clock.now();
+    let asks_for_none = |one: &Upstream| admission.pushback.block(&one.id, now).is_some();
     let upstreams = pool.upstreams.iter();
     let upstreams = upstreams.filter(|one| filter.matches(one) && !asks_for_none(one));
     let mut ids: Vec<_> = upstreams.map(|upstream| upstream.id.clone()).collect();
@@ -259,22 +261,24 @@
     shared.tallies().tally(&key, open_old)
 }
 
-/// The refusal of `job` when no upstream can be selected. If all upstreams are cold or at the limits
-/// that they state, it tells the caller when to return.
+/// The refusal of `job` when no upstream can be selected. If all upstreams rest, are cold or at the
+/// limits that they state, it tells the caller when to return.
 pub fn no_upstream_refusal<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     dispatch: &Dispatch,
 ) -> Refusal {
     let wait = time_until_open(shared, job).filter(|wait| !wait.is_zero());
+    let left = job.deadline.since(shared.clock.now());
+    let wait = wait.map(|wait| spread_return(wait, left, rand::random()));
     Refusal {
         opens_after: wait.or_else(|| time_until_return(shared, job)),
         ..dispatch.no_upstream()
     }
 }
 
-/// Time until the first upstream that may serve `job` is not cold; `None` if there is no upstream that
-/// does not leave.
+/// Time until the first upstream that may serve `job` is neither resting nor cold; `None` if there is
+/// no upstream that does not leave.
 fn time_until_open<C: Codec>(shared: &Shared<C>, job: &Job) -> Option<Duration> {
     let view = shared.view.load();
     let pool = view.pools.get(&job.service)?;
@@ -282,8 +286,33 @@
     let admission = shared.admission();
     let filter = version_filter(shared, job, pool, &admission);
     let upstreams = pool.upstreams.iter().filter(|one| filter.matches(one));
-    let waits = upstreams.filter_map(|one| admission.time_until_open(&one.id, now));
-    waits.min()
+    let open = upstreams.filter_map(|one| {
+        let wait = admission.time_until_open(&one.id, now)?;
+        Some((wait, &one.id))
+    });
+    let (wait, upstream) = open.min_by_key(|(wait, _)| *wait)?;
+    if admission.pushback.block(upstream, now) == Some(Block::Resting) {
+        let age = admission.pushback.age(upstream, now).unwrap_or_default();
+        log::info!(
+            id = job.head.id.as_str(), service = job.service.as_str(), upstream = upstream.as_str(),
+            age_ms = response::millis(age), opens_ms = response::millis(wait);
+            "all upstreams rest; this one is the first to be open again"
+        );
+    }
+    Some(wait)
+}
+
+/// Longest time over which the returns of rejected callers are spread.
+const MAX_RETURN_SPREAD: Duration = Duration::from_secs(1);
+/// Part of their time left up to which callers wait before they return.
+const MAX_RETURN_DIVISOR: u32 = 3;
+
+/// Extends `wait` by a part that `draw`, from 0 to 1, selects, so that callers do not return in one
+/// moment. A caller with `left` time is told no more than it waits for, if that is true.
+fn spread_return(wait: Duration, left: Duration, draw: f64) -> Duration {
+    let latest = (left / MAX_RETURN_DIVISOR).saturating_sub(response::RETRY_AFTER_MAX);
+    let spread = latest.saturating_sub(wait).min(MAX_RETURN_SPREAD);
+    wait + spread.mul_f64(draw)
 }
 
 /// When the caller of `job` may return; `None` if no upstream of its service states a limit.
@@ -416,7 +445,7 @@
         .upstreams
         .iter()
         .filter(|upstream| new.matches(upstream));
-    // While the new version's upstreams leave or are at the rates that they state, only the sessions
+    // While the new version's upstreams rest or are at the rates that they state, only the sessions
     // that run on it have to wait for them.
     let takes_more = candidates.any(|upstream| admission.is_open(&upstream.id, now));
     let uses_new = uses_new_version(shared, job, pool, rollout);
--- a/crates/cloverpost/src/gateway/statements.rs
+++ b/crates/cloverpost/src/gateway/statements.rs
@@ -4,6 +4,7 @@
 
 use crate::gateway::codec::{Classification, Codec};
 use crate::gateway::job::Job;
+use crate::gateway::pool::Connection;
 use crate::gateway::slot::UpstreamSlot;
 use crate::gateway::{Shared, pushback, rate_limits, rejection_limits};
 
@@ -12,6 +13,7 @@
     shared: &Shared<C>,
     job: &Job,
     slot: &UpstreamSlot<C>,
+    connection: &Connection,
     sent: time::Moment,
     head: &http::response::Parts,
     classification: Classification,
@@ -22,7 +24,7 @@
     }
     let upstream = &slot.upstream;
     let statements = shared.codec.statements(&job.head.id, head);
-    pushback::record_response(shared, job, upstream, &statements);
+    pushback::record_response(shared, job, upstream, connection, &statements);
     let is_rejection = classification == Classification::AtCapacity;
     let ran = matches!(
         classification,
--- a/crates/cloverpost/src/gateway/tunnels.rs
+++ b/crates/cloverpost/src/gateway/tunnels.rs
@@ -84,7 +84,13 @@
     }
     let dialled = tokio::time::timeout(DIAL_TIMEOUT, shared.pool.dial(upstream)).await;
     if let Ok(Ok(stream)) = dialled {
-        return Ok(stream);
+        // The requests of a tunnel come from this VM, as far as the upstream sees.
+        let now = shared.clock.now();
+        let block = shared.admission().pushback.block(&upstream.id, now);
+        return match block {
+            Some(_) => Err(Rejection::PushedBack),
+            None => Ok(stream),
+        };
     }
     if path::reaches_others(shared, upstream).await {
         Err(Rejection::UpstreamDown)
--- a/crates/cloverpost/src/peer/tunnel.rs
+++ b/crates/cloverpost/src/peer/tunnel.rs
@@ -40,14 +40,17 @@
     UnknownUpstream,
     /// The peer is stopping or has no room for another tunnel.
     Busy,
+    /// The peer reaches the upstream, which asked it for no requests.
+    PushedBack,
 }
 
 impl Rejection {
-    const ALL: [Self; 4] = [
+    const ALL: [Self; 5] = [
         Self::UpstreamDown,
         Self::UpstreamUnreachable,
         Self::UnknownUpstream,
         Self::Busy,
+        Self::PushedBack,
     ];
 
     const fn status(self) -> StatusCode {
@@ -56,6 +59,7 @@
             Self::UpstreamUnreachable => StatusCode::GATEWAY_TIMEOUT,
             Self::UnknownUpstream => StatusCode::NOT_FOUND,
             Self::Busy => StatusCode::SERVICE_UNAVAILABLE,
+            Self::PushedBack => StatusCode::TOO_MANY_REQUESTS,
         }
     }
 
@@ -67,6 +71,7 @@
             Self::UpstreamUnreachable => "upstream_unreachable",
             Self::UnknownUpstream => "unknown_upstream",
             Self::Busy => "busy",
+            Self::PushedBack => "pushed_back",
         }
     }
 }
