fix(cloverpost-core): requests that may crash upstreams are spread over all that are available

Found as selection was moved to the gate: since a part of a stated rate is preferred, the spread by a hash acted on preferred upstreams only, which are those with a stated limit, so on none as a rule. A test of core failed before.

--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -1,5 +1,6 @@
 //! Behaviour of the decisions, module by module.
 
+mod admission;
 mod balance;
 mod billing;
 mod budget;
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::admission::Gate;
-use cloverpost_core::balance::{Balancer, Criteria};
+use cloverpost_core::balance::Criteria;
 use cloverpost_core::directory::{Allowed, Pool, Rollout, Upstream};
 use cloverpost_core::dispatch::Dispatch;
 use cloverpost_core::pushback::Block;
@@ -69,7 +68,7 @@
         if !untried.any(|one| gate.has_place(one)) {
             gate = gate.with_excess(&job.service, pool);
         }
-        choose(&gate, &balancer, &candidates, &criteria, spread_key, now).cloned()
+        gate.choose(&candidates, &criteria, spread_key).cloned()
     }?;
     admission.record_send(&chosen, now);
     drop(admission);
@@ -101,46 +100,6 @@
         .collect()
 }
 
-/// Chooses among the candidates that `gate` admits, those that it prefers first.
-fn choose<'a>(
-    gate: &Gate<'_>,
-    balancer: &Balancer,
-    candidates: &[&'a Arc<Upstream>],
-    criteria: &Criteria<'_>,
-    spread_key: Option<u64>,
-    now: time::Moment,
-) -> Option<&'a Arc<Upstream>> {
-    let candidates = || candidates.iter().copied();
-    let admitted = || candidates().filter(|upstream| gate.admits(upstream));
-    let preferred = admitted().filter(|upstream| gate.prefers(upstream));
-    let preferred = match spread_key {
-        Some(key) => choose_spread(preferred, key, criteria.tried),
-        None => balancer.choose(preferred, criteria, now),
-    };
-    let chosen = preferred.or_else(|| balancer.choose(admitted(), criteria, now));
-    chosen.or_else(|| {
-        let last_resort = candidates().filter(|upstream| gate.admits_as_last_resort(upstream));
-        balancer.choose(last_resort, criteria, now)
-    })
-}
-
-/// Chooses among `upstreams` by a hash of `key`.
-///
-/// By load, the requests that an upstream's crash ended would all go to the same next upstream, and
-/// a poison request among them would take the others along to the next crash.
-fn choose_spread<'a>(
-    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
-    key: u64,
-    tried: &[id::Upstream],
-) -> Option<&'a Arc<Upstream>> {
-    let untried = upstreams.filter(|upstream| !tried.contains(&upstream.id));
-    untried.min_by_key(|upstream| {
-        let mut hasher = DefaultHasher::new();
-        (key, &upstream.id).hash(&mut hasher);
-        hasher.finish()
-    })
-}
-
 /// Whether an upstream takes another attempt of `job` now.
 pub fn has_upstream<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
     let view = shared.view.load();
@@ -510,7 +469,6 @@
 /// Hash of the job's session, or of its id if it has no session, as a fraction between 0 and 1,
 /// equal on every VM.
 fn hash_fraction(job: &Job, rollout: &Rollout) -> f64 {
-    use std::hash::{DefaultHasher, Hash, Hasher};
     let mut hasher = DefaultHasher::new();
     match job.head.session {
         Some(session) => session.hash(&mut hasher),
