--- a/crates/cloverpost-core/src/admission/gate.rs
+++ b/crates/cloverpost-core/src/admission/gate.rs
@@ -1,6 +1,5 @@
 //! Decides which upstreams of a service may get a request.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use crate::admission::Register;
@@ -47,26 +46,16 @@
     }
 
     /// Chooses among `candidates` by `criteria`, those first that should get the request.
-    ///
-    /// A request with a `spread_key`, which may crash upstreams, goes to the one that a hash of the key
-    /// selects. By load, the requests that a crash ended would all go to the same next upstream, and a
-    /// poison request among them would take the others along to the next crash.
     #[must_use]
     pub fn choose<'b>(
         &self,
         candidates: &[&'b Arc<Upstream>],
         criteria: &Criteria<'_>,
-        spread_key: Option<u64>,
     ) -> Option<&'b Arc<Upstream>> {
         let candidates = || candidates.iter().copied();
         let admitted = || candidates().filter(|upstream| self.admits(upstream));
-        let preferred = if let Some(key) = spread_key {
-            let available = admitted().filter(|one| self.is_available(one));
-            choose_spread(available, key, criteria.tried)
-        } else {
-            let preferred = admitted().filter(|one| self.prefers(one));
-            self.balancer.choose(preferred, criteria, self.now)
-        };
+        let preferred = admitted().filter(|one| self.prefers(one));
+        let preferred = self.balancer.choose(preferred, criteria, self.now);
         let chosen = preferred.or_else(|| self.balancer.choose(admitted(), criteria, self.now));
         chosen.or_else(|| {
             let last_resort = candidates().filter(|one| self.admits_as_last_resort(one));
@@ -97,12 +86,8 @@
 
     /// Whether `upstream`, which is admitted, should get the request rather than others.
     fn prefers(&self, upstream: &Upstream) -> bool {
-        let throttle = &self.register.throttle;
-        throttle.prefers(&upstream.id, self.now) && self.is_available(upstream)
-    }
-
-    fn is_available(&self, upstream: &Upstream) -> bool {
-        self.balancer.is_available(&upstream.id, self.now)
+        let id = &upstream.id;
+        self.register.throttle.prefers(id, self.now) && self.balancer.is_available(id, self.now)
     }
 
     fn is_open(&self, upstream: &Upstream) -> bool {
@@ -119,16 +104,3 @@
         self.is_open(upstream) && (!self.is_fragile || fits())
     }
 }
-
-fn choose_spread<'a>(
-    upstreams: impl Iterator<Item = &'a Arc<Upstream>>,
-    key: u64,
-    tried: &[id::Upstream],
-) -> Option<&'a Arc<Upstream>> {
-    let untried = upstreams.filter(|upstream| !tried.contains(&upstream.id));
-    untried.min_by_key(|upstream| {
-        let mut hasher = DefaultHasher::new();
-        (key, &upstream.id).hash(&mut hasher);
-        hasher.finish()
-    })
-}
--- a/crates/cloverpost/src/gateway/crashes.rs
+++ b/crates/cloverpost/src/gateway/crashes.rs
@@ -150,23 +150,6 @@
     lift(shared, "", upstreams.into_keys().collect(), why);
 }
 
-/// Key by which a marked job is spread over the upstreams. Jobs that share a marked part go to one
-/// upstream, so that the others survive if it is bad.
-pub fn spread_key<C: Codec>(shared: &Shared<C>, job: &Job) -> Option<u64> {
-    let now = shared.clock.now();
-    let quarantine = &shared.quarantine;
-    if quarantine.is_empty() {
-        return None;
-    }
-    let profile = job.profile();
-    let mut features = profile.features().collect::<Vec<_>>().into_iter().rev();
-    let marked = features.find(|feature| quarantine.status(feature, now) != Status::Clear)?;
-    Some(match marked {
-        Feature::Request(fingerprint) => fingerprint.prefix(),
-        Feature::Part(part) => part.hash(),
-    })
-}
-
 /// The refusal of a quarantined job that has not run.
 pub fn refusal<C: Codec>(shared: &Shared<C>, job: &Job) -> Refusal {
     let now = shared.clock.now();
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -13,7 +13,6 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
-use crate::gateway::crashes;
 use crate::gateway::job::Job;
 use crate::gateway::response;
 
@@ -60,7 +59,6 @@
         draw: rand::random(),
     };
     drop(speed);
-    let spread_key = crashes::spread_key(shared, job);
     let chosen = {
         let balancer = shared.balancer();
         let mut gate = admission.gate(&job.service, &balancer, now);
@@ -68,7 +66,7 @@
         if !untried.any(|one| gate.has_place(one)) {
             gate = gate.with_excess(&job.service, pool);
         }
-        gate.choose(&candidates, &criteria, spread_key).cloned()
+        gate.choose(&candidates, &criteria).cloned()
     }?;
     admission.record_send(&chosen, now);
     drop(admission);
