--- a/crates/cloverpost-core/tests/behaviour/admission/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/admission/mod.rs
@@ -64,7 +64,7 @@
     fn an_upstream_that_asked_for_no_requests_is_never_chosen(
         asks in proptest::collection::vec(0_u8..4, 1..8),
         tried in 0_usize..8,
-        ) {
+    ) {
         let upstreams: Vec<_> = (0..asks.len()).map(upstream).collect();
         let (mut register, balancer) = (register(), Balancer::new(Options::default()));
         let now = time::Moment::default();
