feat(cloverpost): the store's era and pages that are older than the copy are told

A silent store and one whose every page is dropped looked the same: which version a response had, whether it was dropped, and whether the store came back from a copy was in no line and no metric.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -5,7 +5,8 @@
 use crate::directory::encoded::newest;
 use crate::directory::fetch::Fetched;
 use crate::directory::{
-    Change, Configuration, Evacuation, Member, Order, Patch, Progress, Table, Upstream, Version,
+    Change, Configuration, Era, Evacuation, Member, Order, Patch, Progress, Table, Upstream,
+    Version,
 };
 
 /// A copy of all tables that a VM follows.
@@ -50,6 +51,8 @@
 pub struct Page {
     /// The rows.
     pub rows: Rows,
+    /// The store's era.
+    pub era: Era,
     /// Version up to which the rows are complete.
     pub version: Version,
     /// The store's clock, in milliseconds since an arbitrary epoch.
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -52,7 +52,7 @@
 pub use route::{Destination, Route};
 pub use service::{Model, Service};
 pub use size::Size;
-pub use table::{Change, Row, Table, Version};
+pub use table::{Change, Era, Row, Table, Version};
 pub use tombstones::Tombstones;
 pub use tunnel::Tunnel;
 pub use upstream::Upstream;
--- a/crates/cloverpost-core/src/directory/table.rs
+++ b/crates/cloverpost-core/src/directory/table.rs
@@ -17,6 +17,12 @@
     Version
 }
 
+crate::number::number! {
+    /// Number of the copy from which the store last came back. Versions assigned after the copy
+    /// was made are assigned again in the next era.
+    Era
+}
+
 /// A row and the version in which it was written.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
@@ -6,7 +6,7 @@
 use cloverpost_core::directory::encoded::{MAX_TABLE_BYTES, PIECE_BYTES};
 use cloverpost_core::directory::fetch::{Fetched, Request};
 use cloverpost_core::directory::{
-    Configuration, Encodings, Fetch, Image, Member, Page, Piece, Rows, Size, Table, Upstream,
+    Configuration, Encodings, Era, Fetch, Image, Member, Page, Piece, Rows, Size, Table, Upstream,
     Version,
 };
 use cloverpost_core::id;
@@ -299,6 +299,7 @@
             orders: Vec::new(),
             evacuations: Vec::new(),
         },
+        era: Era::default(),
         version: Version::new(90),
         now_ms: 0,
         unreadable: Vec::new(),
--- a/crates/cloverpost-core/tests/behaviour/directory/image.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/image.rs
@@ -1,6 +1,6 @@
 //! Updates of a copy of the store's tables.
 
-use cloverpost_core::directory::{Change, Image, Page, Rows, Update, Upstream, Version};
+use cloverpost_core::directory::{Change, Era, Image, Page, Rows, Update, Upstream, Version};
 use proptest::prelude::*;
 
 use super::{change, configuration, upstream};
@@ -8,6 +8,7 @@
 fn page(version: u64, changes: Vec<Change<Upstream>>) -> Page {
     Page {
         rows: Rows::Upstreams(changes),
+        era: Era::default(),
         version: Version::new(version),
         now_ms: 0,
         unreadable: Vec::new(),
@@ -21,6 +22,7 @@
             orders: Vec::new(),
             evacuations: Vec::new(),
         },
+        era: Era::default(),
         version: Version::new(version),
         now_ms: 0,
         unreadable: Vec::new(),
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::{
-    Configuration, Encodings, Fetch, Image, Member, Upstream, Version,
+    Configuration, Encodings, Era, Fetch, Image, Member, Upstream, Version,
 };
 use cloverpost_core::{id, time};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -65,6 +65,8 @@
     /// Upstreams whose registrations expired during a store outage, with the time until which they
     /// stay in use.
     retained_upstreams: HashMap<String, (Upstream, time::Moment)>,
+    /// The store's era in its last response.
+    store_era: Era,
     /// Unreadable rows already logged, with the logged version.
     logged_unreadable: HashMap<(Topic, String), Version>,
     /// Topics whose last store call failed, with the time of the last failure.
@@ -136,6 +138,7 @@
             context,
             image: Image::default(),
             retained_upstreams: HashMap::new(),
+            store_era: Era::default(),
             logged_unreadable: HashMap::new(),
             failed_topics: HashMap::new(),
             is_store_unavailable: false,
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -5,7 +5,7 @@
 
 use cloverpost_core::directory::fetch::Fetched;
 use cloverpost_core::directory::{
-    Configuration, Member, Page, Unreadable, Update, Upstream, View, watchers,
+    Configuration, Era, Member, Page, Unreadable, Update, Upstream, View, watchers,
 };
 use cloverpost_core::{directory, quota, time};
 use tokio::sync::watch;
@@ -31,6 +31,8 @@
         self.record_store_contact(now);
         self.last_store_response = now;
         self.context.shared.set_store_now_ms(page.now_ms);
+        self.record_era(topic, page.era);
+        self.record_ignored_page(topic, &page, is_full);
         self.log_unreadable(topic, &page.unreadable);
         if let Some(since) = self.failed_topics.remove(&topic) {
             let away_ms = millis(now.since(since));
@@ -62,6 +64,35 @@
         }
     }
 
+    fn record_era(&mut self, topic: Topic, era: Era) {
+        if era != self.store_era {
+            log::info!(topic = topic.as_str(), before:% = self.store_era, now:% = era; "the store is in another era");
+            self.store_era = era;
+            let era = i64::try_from(era.get()).unwrap_or(i64::MAX);
+            self.context.shared.metrics.store_era.set(era);
+        }
+    }
+
+    /// Logs and counts a page that is not newer than the copy.
+    fn record_ignored_page(&self, topic: Topic, page: &Page, is_full: bool) {
+        let versions = self.image.versions();
+        let own = match topic {
+            Topic::Operators => versions.orders,
+            Topic::Upstreams => versions.upstreams,
+            Topic::Progress => versions.progress,
+            Topic::Members => versions.members,
+        };
+        if page.version >= own {
+            return;
+        }
+        let ignored = &self.context.shared.metrics.ignored_pages;
+        ignored.with_label_values(&[topic.as_str()]).inc();
+        log::warn!(
+            topic = topic.as_str(), era:% = page.era, version:% = page.version, own:% = own, is_full;
+            "the store's response is older than the copy and is ignored"
+        );
+    }
+
     /// Logs and counts unreadable rows, once per row version, since full reads return them
     /// repeatedly.
     fn log_unreadable(&mut self, topic: Topic, rows: &[Unreadable]) {
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -85,6 +85,10 @@
     pub store_seconds: Histogram,
     /// Unreadable rows of the store, by topic; each row version counts once.
     pub unreadable_rows: IntCounterVec,
+    /// Number of the copy from which the store last came back.
+    pub store_era: IntGauge,
+    /// Responses of the store that are older than the copy, by topic.
+    pub ignored_pages: IntCounterVec,
     /// Number of the configuration in force.
     pub configuration: IntGauge,
     /// Upstreams in use.
@@ -193,6 +197,15 @@
                 "rows of the store that could not be read",
                 &["topic"],
             ),
+            store_era: gauge(
+                "store_era",
+                "number of the copy from which the store last came back",
+            ),
+            ignored_pages: counters(
+                "ignored_pages_total",
+                "responses of the store that are older than the copy",
+                &["topic"],
+            ),
             configuration: gauge("configuration", "number of the configuration in force"),
             upstreams: gauge("upstreams", "upstreams that take work"),
             evacuated_zones: gauge(
