--- a/crates/cloverpost-core/src/directory/configuration.rs
+++ b/crates/cloverpost-core/src/directory/configuration.rs
@@ -1,6 +1,6 @@
 //! The operators' configuration.
 
-use crate::directory::{Limits, Organisation, Route, Service};
+use crate::directory::{Limits, Organisation, Route, Service, Version};
 
 /// A complete configuration, as accepted from an operator.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -17,3 +17,13 @@
     /// Limits on requests and connections.
     pub limits: Limits,
 }
+
+impl Configuration {
+    /// Version of the configuration in the copies of VMs. It follows from the operators' number
+    /// alone, which the store does not assign again. It is at least 1, since the default stands for
+    /// no configuration.
+    #[must_use]
+    pub fn version(&self) -> Version {
+        Version::new(self.number.max(1))
+    }
+}
--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -51,8 +51,6 @@
 pub struct Page {
     /// The rows.
     pub rows: Rows,
-    /// The store's era.
-    pub era: Era,
     /// Version up to which the rows are complete.
     pub version: Version,
     /// The store's clock, in milliseconds since an arbitrary epoch.
@@ -104,7 +102,8 @@
 }
 
 impl Image {
-    /// Applies the changes of a feed, and returns whether a value changed.
+    /// Applies the changes of a feed, and returns whether a value changed. Changes of a later era
+    /// than the copy of the table are ignored: only a full read has what precedes them.
     pub fn apply(&mut self, page: Page) -> bool {
         let version = page.version;
         match page.rows {
@@ -113,18 +112,26 @@
                 orders,
                 evacuations,
             } => {
-                let mut differs = self.configuration.apply(configuration, version);
-                differs |= self.orders.apply(orders, version);
+                let mut differs = self.take_configuration(configuration);
+                differs |= self.change_orders(|table| table.apply(orders, version));
                 differs |= self.evacuations.apply(evacuations, version);
                 differs
             }
-            Rows::Upstreams(changes) => self.upstreams.apply(changes, version),
-            Rows::Progress(changes) => self.progress.apply(changes, version),
+            Rows::Upstreams(changes) => {
+                let changes = self.after_known(changes);
+                self.upstreams.apply(changes, version)
+            }
+            Rows::Progress(changes) => {
+                let outlasts = Progress::outlasts;
+                self.progress.apply_unless(changes, version, outlasts)
+            }
             Rows::Members(changes) => self.members.apply(changes, version),
         }
     }
 
-    /// Replaces a table with the result of a full read, and returns whether a value changed.
+    /// Replaces a table with the result of a full read, and returns whether a value changed. What
+    /// is known of an earlier era and the store has lost is kept, except for upstreams, which
+    /// register again by themselves.
     pub fn replace(&mut self, page: Page) -> bool {
         let version = page.version;
         match page.rows {
@@ -133,14 +140,17 @@
                 orders,
                 evacuations,
             } => {
-                let mut differs = self.configuration.replace(configuration, version);
-                differs |= self.orders.replace(orders, version);
-                differs |= self.evacuations.replace(evacuations, version);
+                let mut differs = self.take_configuration(configuration);
+                differs |= self.change_orders(|table| table.restore(orders, version, never));
+                differs |= self.evacuations.restore(evacuations, version, never);
                 differs
             }
-            Rows::Upstreams(rows) => self.upstreams.replace(rows, version),
-            Rows::Progress(rows) => self.progress.replace(rows, version),
-            Rows::Members(rows) => self.members.replace(rows, version),
+            Rows::Upstreams(rows) => {
+                let rows = self.after_known(rows);
+                self.upstreams.replace(rows, version)
+            }
+            Rows::Progress(rows) => self.progress.restore(rows, version, Progress::outlasts),
+            Rows::Members(rows) => self.members.restore(rows, version, never),
         }
     }
 
@@ -148,32 +158,133 @@
     pub fn update(&mut self, update: Update) -> bool {
         let mut differs = false;
         if let Some(patch) = update.orders {
-            differs |= self.orders.patch(patch);
+            differs |= self.change_orders(|table| table.restore_patch(patch, never));
         }
         if let Some(patch) = update.evacuations {
-            differs |= self.evacuations.patch(patch);
+            differs |= self.evacuations.restore_patch(patch, never);
         }
         if let Some(patch) = update.upstreams {
-            differs |= self.upstreams.patch(patch);
+            let changes = self.after_known(patch.changes);
+            differs |= self.upstreams.patch(Patch { changes, ..patch });
         }
         if let Some(patch) = update.progress {
-            differs |= self.progress.patch(patch);
+            differs |= self.progress.restore_patch(patch, Progress::outlasts);
         }
         if let Some(patch) = update.members {
-            differs |= self.members.patch(patch);
+            differs |= self.members.restore_patch(patch, never);
         }
         differs
     }
 
+    /// Takes the newest of `rows` if its number is higher than that of the known configuration,
+    /// whichever era and source they are from, and returns whether it did.
+    fn take_configuration(&mut self, rows: Vec<Change<Configuration>>) -> bool {
+        let rows = rows.into_iter().filter(|row| row.value.is_some());
+        let version = |row: &Change<Configuration>| row.value.as_ref().map(Configuration::version);
+        let Some(newest) = rows.max_by_key(version) else {
+            return false;
+        };
+        let version = version(&newest).unwrap_or_default();
+        let row = Change { version, ..newest };
+        self.configuration.replace(vec![row], version)
+    }
+
+    /// Changes the orders, and assigns rollouts to the rows of orders that operators wrote again.
+    fn change_orders(&mut self, change: impl FnOnce(&mut Table<Order>) -> bool) -> bool {
+        let before = self.orders.rows.clone();
+        let overruled = self.orders.overruled.clone();
+        let era = self.orders.version.era();
+        let differs = change(&mut self.orders);
+        let is_new_era = self.orders.version.era() > era;
+        for (service, row) in &self.orders.rows {
+            let was_lost = is_new_era || overruled.contains_key(service);
+            let Some(known) = before.get(service).filter(|_| was_lost) else {
+                continue;
+            };
+            if known.value != row.value || known.version == row.version {
+                continue;
+            }
+            let progress = self.progress.rows.get(service).map(|row| &row.value);
+            if let Some(progress) =
+                progress.filter(|one| one.belongs_to(&known.value, known.version))
+            {
+                let order = row.version;
+                self.progress.amend(
+                    service,
+                    Progress {
+                        order,
+                        ..progress.clone()
+                    },
+                );
+            }
+        }
+        differs
+    }
+
+    /// `rows` with what is known of the same processes.
+    fn after_known(&self, rows: Vec<Change<Upstream>>) -> Vec<Change<Upstream>> {
+        let after_known = |row: Change<Upstream>| {
+            let known = self.upstreams.rows.get(&row.key);
+            let value = row.value.map(|one| match known {
+                Some(known) => one.after(&known.value),
+                None => one,
+            });
+            Change { value, ..row }
+        };
+        rows.into_iter().map(after_known).collect()
+    }
+
     /// Applies a configuration fetched from peers, and returns whether a value changed.
     pub fn replace_configuration(&mut self, fetched: Fetched<Configuration>) -> bool {
-        self.configuration.replace(fetched.rows, fetched.version)
+        self.take_configuration(fetched.rows)
     }
 
     /// Applies upstreams fetched from peers, and returns whether a value changed.
     pub fn replace_upstreams(&mut self, fetched: Fetched<Upstream>) -> bool {
-        self.upstreams
-            .replace(fetched.rows, fetched.snapshot_version)
+        let rows = self.after_known(fetched.rows);
+        self.upstreams.replace(rows, fetched.snapshot_version)
+    }
+
+    /// Takes the store's word where the copy kept what it knew of an earlier era. States of
+    /// rollouts whose order stands are kept until they are written again. Returns the table and
+    /// key of each row.
+    pub fn release_overruled(&mut self) -> Vec<(&'static str, String)> {
+        let orders = self.orders.release_overruled(|_| true);
+        let evacuations = self.evacuations.release_overruled(|_| true);
+        let members = self.members.release_overruled(|_| true);
+        let ordered = &self.orders.rows;
+        let progress = self
+            .progress
+            .release_overruled(|service| !ordered.contains_key(service));
+        let released = [
+            ("orders", orders),
+            ("evacuations", evacuations),
+            ("members", members),
+            ("progress", progress),
+        ];
+        let released = released.into_iter();
+        let released =
+            released.flat_map(|(table, keys)| keys.into_iter().map(move |key| (table, key)));
+        released.collect()
+    }
+
+    /// Whether the states of rollouts are of an earlier era than their orders. They are read only
+    /// while a rollout may be open.
+    #[must_use]
+    pub fn has_outdated_progress(&self) -> bool {
+        let version = self.progress.version;
+        version > Version::default() && version.era() < self.orders.version.era()
+    }
+
+    /// Keys for which the copy keeps what it knows of an earlier era, by table.
+    pub fn overruled(&self) -> impl Iterator<Item = (&'static str, &str)> {
+        let orders = self.orders.overruled.keys().map(|key| ("orders", key));
+        let evacuations = self.evacuations.overruled.keys();
+        let evacuations = evacuations.map(|key| ("evacuations", key));
+        let progress = self.progress.overruled.keys().map(|key| ("progress", key));
+        let members = self.members.overruled.keys().map(|key| ("members", key));
+        let all = orders.chain(evacuations).chain(progress).chain(members);
+        all.map(|(table, key)| (table, key.as_str()))
     }
 
     /// The changes that a copy complete up to `versions` lacks. Of the configuration only the
@@ -226,6 +337,11 @@
     }
 }
 
+/// No known value is newer by itself than one that the store says.
+fn never<T>(_known: &T, _stored: &T) -> bool {
+    false
+}
+
 /// Changes that a peer's image has and the receiver's lacks, by table.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -253,6 +369,25 @@
     pub members: Option<Patch<Member>>,
 }
 
+impl Update {
+    /// The latest era of the tables.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        let eras = [
+            era(self.orders.as_ref()),
+            era(self.evacuations.as_ref()),
+            era(self.upstreams.as_ref()),
+            era(self.progress.as_ref()),
+            era(self.members.as_ref()),
+        ];
+        eras.into_iter().max().unwrap_or_default()
+    }
+}
+
+fn era<T>(patch: Option<&Patch<T>>) -> Era {
+    patch.map_or(Era::default(), |patch| patch.version.era())
+}
+
 /// A version of each table of an [`Image`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -2,12 +2,19 @@
 //!
 //! The store keeps this state as rows in a few tables. An [`Image`] is one VM's copy of the
 //! tables. It is updated from change feeds, full reads and peers; the newest version of a table
-//! wins, whatever its source. A [`View`] holds the indexes over one state of the image that the
+//! wins, whatever its source.
+//!
+//! The store may come back from a copy some seconds old: it then lacks what it acknowledged since,
+//! and assigns the versions of those writes again, in a new [`Era`]. What the image knows of the
+//! earlier era is compared with the copy table by table: known rows that only the copy lacks are
+//! kept against the store's word until the store has them again. A [`View`] holds the indexes over one state of the image that the
 //! request path reads.
 
 mod configuration;
 pub mod encoded;
+mod era;
 mod evacuation;
+mod exceptions;
 pub mod fetch;
 mod fleet;
 mod image;
@@ -25,16 +32,20 @@
 mod route;
 mod service;
 mod size;
+mod superseded;
 mod table;
 mod tombstones;
 mod tunnel;
 mod upstream;
+mod version;
 mod view;
 pub mod watchers;
 
 pub use configuration::Configuration;
 pub use encoded::Encodings;
+pub use era::Era;
 pub use evacuation::Evacuation;
+pub use exceptions::Exceptions;
 pub use fetch::Fetch;
 pub use fleet::{Fleet, ParseFleet};
 pub use image::{Image, Page, Rows, Unreadable, Update, Versions};
@@ -52,8 +63,10 @@
 pub use route::{Destination, Route};
 pub use service::{Model, Service};
 pub use size::Size;
-pub use table::{Change, Era, Row, Table, Version};
+pub use superseded::Superseded;
+pub use table::{Change, Row, Table};
 pub use tombstones::Tombstones;
 pub use tunnel::Tunnel;
 pub use upstream::Upstream;
+pub use version::Version;
 pub use view::{Allowed, Pool, Rollout, View, base};
--- a/crates/cloverpost-core/src/directory/patch.rs
+++ b/crates/cloverpost-core/src/directory/patch.rs
@@ -1,6 +1,6 @@
 //! Incremental updates of a table.
 
-use crate::directory::{Change, Version};
+use crate::directory::{Change, Row, Version};
 
 /// Changes that bring an older copy of a table up to date, completely or in part.
 #[derive(Clone, Debug, PartialEq)]
@@ -13,4 +13,7 @@
     pub version: Version,
     /// The rows that changed after `base`, or all rows.
     pub changes: Vec<Change<T>>,
+    /// Keys for which the sender keeps what it knows of an earlier era, with the store's row, or
+    /// `None` if the store has none.
+    pub overruled: Vec<(String, Option<Row<T>>)>,
 }
--- a/crates/cloverpost-core/src/directory/rollout.rs
+++ b/crates/cloverpost-core/src/directory/rollout.rs
@@ -43,6 +43,9 @@
     pub base: Option<id::Version>,
     /// Version of the order's row; distinguishes repeated orders of the same target.
     pub order: Version,
+    /// Version that the order's row had when the rollout began; identifies the rollout. The
+    /// operators write an order again that the store has lost.
+    pub rollout: Version,
     /// The store's clock when the first VM started the rollout, in milliseconds.
     pub started_ms: u64,
     /// The store's clock when that VM first saw the order, in milliseconds. The duration counts
@@ -52,10 +55,30 @@
 }
 
 impl Progress {
-    /// Whether this is the progress of `order` as written in version `row`.
+    /// Whether this is the progress of `order` as written in version `row`. A VM that reads the
+    /// row from a copy of the store cannot tell in which era it was written.
     #[must_use]
     pub fn belongs_to(&self, order: &Order, row: Version) -> bool {
-        self.order == row && self.target == order.target
+        let is_same_row = self.order == row.in_era(self.order.era()) && self.order <= row;
+        is_same_row && self.target == order.target
+    }
+
+    /// Whether this is the progress of the same rollout as `other`.
+    #[must_use]
+    pub fn is_same_rollout(&self, other: &Self) -> bool {
+        // A VM that read the order from a copy of the store has it in a later era.
+        let is_same_order = self.order.counter() == other.order.counter();
+        (self.rollout == other.rollout || is_same_order) && self.target == other.target
+    }
+
+    /// Whether `other` is an earlier state of the same rollout, as a store says that came back from
+    /// a copy, or a VM that did not know of this one and began again.
+    #[must_use]
+    pub fn outlasts(&self, other: &Self) -> bool {
+        if !self.is_same_rollout(other) || other.state != State::InProgress {
+            return false;
+        }
+        self.state != State::InProgress || self.started_ms < other.started_ms
     }
 
     /// The version that `next`, the following order, replaces, as far as this rollout determines
--- a/crates/cloverpost-core/src/directory/table.rs
+++ b/crates/cloverpost-core/src/directory/table.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::directory::{Patch, Tombstones};
+use crate::directory::{Patch, Superseded, Tombstones, Version};
 
 /// Maximum number of rows of a table that is sent whole in one message, about 30 kB. Larger tables
 /// are fetched in pieces.
@@ -12,17 +12,6 @@
 /// limit of a message.
 const MAX_PATCH_ROWS: usize = 128;
 
-crate::number::number! {
-    /// Value of the store's transaction counter; never decreases.
-    Version
-}
-
-crate::number::number! {
-    /// Number of the copy from which the store last came back. Versions assigned after the copy
-    /// was made are assigned again in the next era.
-    Era
-}
-
 /// A row and the version in which it was written.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -33,6 +22,14 @@
     pub value: T,
 }
 
+impl<T: PartialEq> Row<T> {
+    /// Whether `other` may be the same write, read again from a copy of the store.
+    #[must_use]
+    pub fn is_same_write(&self, other: &Self) -> bool {
+        self.version.counter() == other.version.counter() && self.value == other.value
+    }
+}
+
 /// A changed row of a feed; a row without a value was removed.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -58,6 +55,11 @@
     pub rows: BTreeMap<String, Row<T>>,
     /// Tombstones of removed rows.
     pub tombstones: Tombstones,
+    /// Former rows.
+    pub superseded: Superseded<T>,
+    /// What the store says of keys for which the copy keeps what it knows of an earlier era: the
+    /// store's row, or `None` if the store has none.
+    pub overruled: BTreeMap<String, Option<Row<T>>>,
 }
 
 impl<T> Default for Table<T> {
@@ -67,42 +69,70 @@
             changed: Version::default(),
             rows: BTreeMap::new(),
             tombstones: Tombstones::default(),
+            superseded: Superseded::default(),
+            overruled: BTreeMap::new(),
         }
     }
 }
 
-impl<T: PartialEq> Table<T> {
+impl<T: Clone + PartialEq> Table<T> {
     /// Applies the changes up to `version`, and returns whether a value changed.
     ///
     /// Changes that the copy already contains are ignored: a slow feed may repeat what a full read
     /// or a peer has delivered since.
     pub fn apply(&mut self, changes: Vec<Change<T>>, version: Version) -> bool {
+        self.apply_unless(changes, version, |_known, _change| false)
+    }
+
+    /// Like [`Self::apply`], but keeps the known value if `outlasts` says so of it and a changed
+    /// one.
+    pub fn apply_unless(
+        &mut self,
+        changes: Vec<Change<T>>,
+        version: Version,
+        outlasts: impl Fn(&T, &T) -> bool,
+    ) -> bool {
+        if version.era() > self.version.era() {
+            // The changes since the store's copy are unknown; only a full read has them.
+            return false;
+        }
         let mut differs = false;
         for change in changes {
             if change.version > self.version {
-                differs |= self.apply_one(change);
+                differs |= self.apply_one(change, &outlasts);
             }
         }
         self.version = self.version.max(version);
         differs
     }
 
-    fn apply_one(&mut self, change: Change<T>) -> bool {
+    fn apply_one(&mut self, change: Change<T>, outlasts: impl Fn(&T, &T) -> bool) -> bool {
         // A rewrite with the same value counts too: the row's version distinguishes repeated
         // orders and rollout states.
         self.changed = self.changed.max(change.version);
-        let Some(value) = change.value else {
-            let was_there = self.rows.remove(&change.key).is_some();
-            self.tombstones.insert(change.key, change.version);
-            return was_there;
-        };
-        self.tombstones.remove(&change.key);
-        let row = Row {
-            version: change.version,
-            value,
-        };
-        let before = self.rows.insert(change.key.clone(), row);
-        before.is_none_or(|before| before.value != self.rows[&change.key].value)
+        let (key, version) = (change.key.clone(), change.version);
+        let known = self.rows.get(&key);
+        if let (Some(known), Some(value)) = (known, &change.value)
+            && outlasts(&known.value, value)
+        {
+            self.overruled
+                .insert(key, change.into_row().map(|(_, row)| row));
+            return false;
+        }
+        self.overruled.remove(&key);
+        let before = self.rows.remove(&key);
+        let is_new = before.as_ref().map(|row| &row.value) != change.value.as_ref();
+        if let Some(before) = before {
+            self.superseded.push(key.clone(), before);
+        }
+        match change.into_row() {
+            Some((key, row)) => {
+                self.tombstones.remove(&key);
+                self.rows.insert(key, row);
+            }
+            None => self.tombstones.insert(key, version),
+        }
+        is_new
     }
 
     /// Replaces the copy with all rows of the table at `version` if that is newer, and returns
@@ -113,25 +143,116 @@
         if version <= self.version {
             return false;
         }
+        let mut rows = into_rows(rows);
+        let overruled = std::mem::take(&mut self.overruled);
+        if version.era() == self.version.era() {
+            for (key, stored) in overruled {
+                self.keep_while_unchanged(key, stored, &mut rows);
+            }
+        }
+        self.replace_rows(rows, version)
+    }
+
+    /// Keeps the known row of `key` if the store's row is still `stored`.
+    fn keep_while_unchanged(
+        &mut self,
+        key: String,
+        stored: Option<Row<T>>,
+        rows: &mut BTreeMap<String, Row<T>>,
+    ) {
+        if rows.get(&key) == stored.as_ref() {
+            self.keep(key, stored, rows);
+        }
+    }
+
+    /// Puts the known row of `key`, or its absence, into `rows` against the store's word `stored`.
+    fn keep(&mut self, key: String, stored: Option<Row<T>>, rows: &mut BTreeMap<String, Row<T>>) {
+        match self.rows.get(&key) {
+            Some(known) => rows.insert(key.clone(), known.clone()),
+            None => rows.remove(&key),
+        };
+        self.overruled.insert(key, stored);
+    }
+
+    fn replace_rows(&mut self, rows: BTreeMap<String, Row<T>>, version: Version) -> bool {
+        let is_new_era = version.era() > self.version.era();
         if self.version == Version::default() {
             // Earlier removals are unknown, and peers may still have those rows.
             self.tombstones = Tombstones::since(version);
             self.changed = version;
         }
-        let rows = rows.into_iter().filter_map(Change::into_row).collect();
         let before = std::mem::replace(&mut self.rows, rows);
-        for key in before.keys().filter(|key| !self.rows.contains_key(*key)) {
-            // The version of the removal is unknown, so `version` is used; copies that already
-            // have it receive it twice.
-            self.tombstones.insert(key.clone(), version);
-            self.changed = version;
+        let differs = !has_same_values(&before, &self.rows);
+        for (key, row) in before {
+            match self.rows.get_mut(&key) {
+                // The copy of the store has the row as it was assigned in the earlier era.
+                Some(now) if is_new_era && row.is_same_write(now) => now.version = row.version,
+                Some(now) if now.version == row.version => {}
+                Some(_) => self.superseded.push(key, row),
+                None => {
+                    // The version of the removal is unknown, so `version` is used; copies that
+                    // already have it receive it twice.
+                    self.tombstones.insert(key.clone(), version);
+                    self.changed = version;
+                    self.superseded.push(key, row);
+                }
+            }
         }
         for (key, row) in &self.rows {
             self.tombstones.remove(key);
             self.changed = self.changed.max(row.version);
         }
+        if is_new_era {
+            self.changed = version;
+        }
         self.version = version;
-        !has_same_values(&before, &self.rows)
+        differs
+    }
+
+    /// Like [`Self::replace`], but if the rows are of a later era, keeps what the copy knows of the
+    /// earlier one and the store has lost: rows that are missing, rows that were overwritten since,
+    /// removals, and values of which `outlasts` says so.
+    pub fn restore(
+        &mut self,
+        rows: Vec<Change<T>>,
+        version: Version,
+        outlasts: impl Fn(&T, &T) -> bool,
+    ) -> bool {
+        if version.era() <= self.version.era() || self.version == Version::default() {
+            return self.replace(rows, version);
+        }
+        let mut rows = into_rows(rows);
+        self.overruled.clear();
+        let known: Vec<_> = self.rows.keys().cloned().collect();
+        let stored: Vec<_> = rows.keys().cloned().collect();
+        for key in known.into_iter().chain(stored) {
+            let stored = rows.get(&key);
+            if !self.overruled.contains_key(&key) && self.is_lost(&key, stored, &outlasts) {
+                let stored = stored.cloned();
+                self.keep(key, stored, &mut rows);
+            }
+        }
+        self.replace_rows(rows, version)
+    }
+
+    /// Whether what the copy knows of `key` is newer than `stored`, the row of a store that came
+    /// back from a copy.
+    fn is_lost(
+        &self,
+        key: &str,
+        stored: Option<&Row<T>>,
+        outlasts: impl Fn(&T, &T) -> bool,
+    ) -> bool {
+        let Some(stored) = stored else {
+            return self.rows.contains_key(key);
+        };
+        match self.rows.get(key) {
+            Some(known) if known.value == stored.value => false,
+            Some(known) => {
+                outlasts(&known.value, &stored.value) || self.superseded.contains(key, stored)
+            }
+            None => self.superseded.contains(key, stored),
+        }
     }
 
     /// Applies a peer's patch, and returns whether a value changed.
@@ -143,6 +264,94 @@
             None => self.replace(patch.changes, patch.version),
         }
     }
+
+    /// Like [`Self::patch`], but keeps what this copy or the peer knows of an earlier era and the
+    /// store has lost.
+    pub fn restore_patch(&mut self, patch: Patch<T>, outlasts: impl Fn(&T, &T) -> bool) -> bool {
+        match patch.base {
+            Some(base) if base > self.version => false,
+            Some(_) => self.apply_unless(patch.changes, patch.version, outlasts),
+            None if patch.version <= self.version => false,
+            None => self.restore_snapshot(patch, outlasts),
+        }
+    }
+
+    fn restore_snapshot(&mut self, patch: Patch<T>, outlasts: impl Fn(&T, &T) -> bool) -> bool {
+        let known = into_rows(patch.changes);
+        let mut stored = known.clone();
+        for (key, row) in &patch.overruled {
+            match row {
+                Some(row) => stored.insert(key.clone(), row.clone()),
+                None => stored.remove(key),
+            };
+        }
+        let stored = stored.iter().map(Change::from_row).collect();
+        let mut differs = self.restore(stored, patch.version, outlasts);
+        for (key, stored) in patch.overruled {
+            let row = known.get(&key);
+            differs |= self.keep_as_peer(key, row, stored);
+        }
+        differs
+    }
+
+    /// Keeps `row`, or the removal, that a peer knows of `key` against the store's word `stored`,
+    /// unless this copy knows a newer one.
+    fn keep_as_peer(&mut self, key: String, row: Option<&Row<T>>, stored: Option<Row<T>>) -> bool {
+        let version = |row: Option<&Row<T>>| row.map(|row| row.version);
+        let own = self.rows.get(&key);
+        if self.overruled.contains_key(&key) && version(own) >= version(row) {
+            return false;
+        }
+        let differs = own.map(|row| &row.value) != row.map(|row| &row.value);
+        match row {
+            Some(row) => self.rows.insert(key.clone(), row.clone()),
+            None => self.rows.remove(&key),
+        };
+        self.overruled.insert(key, stored);
+        differs
+    }
+
+    /// Changes a value that the store does not have yet.
+    pub fn amend(&mut self, key: &str, value: T) {
+        let Some(row) = self.rows.get_mut(key) else {
+            return;
+        };
+        let before = std::mem::replace(&mut row.value, value);
+        let before = Row {
+            version: row.version,
+            value: before,
+        };
+        self.superseded.push(key.to_owned(), before.clone());
+        self.overruled.entry(key.to_owned()).or_insert(Some(before));
+    }
+
+    /// Takes the store's word for the overruled keys of which `is_released` says so. Returns these
+    /// keys.
+    pub fn release_overruled(&mut self, is_released: impl Fn(&str) -> bool) -> Vec<String> {
+        let keys = self.overruled.keys().filter(|key| is_released(key));
+        let keys: Vec<_> = keys.cloned().collect();
+        for key in &keys {
+            let stored = self.overruled.remove(key).flatten();
+            let before = match stored {
+                Some(row) => self.rows.insert(key.clone(), row),
+                None => self.rows.remove(key),
+            };
+            if let Some(before) = before {
+                self.superseded.push(key.clone(), before);
+            }
+        }
+        keys
+    }
+
+    /// Version of the row of `key` in the store; the default if it has none.
+    #[must_use]
+    pub fn stored_version(&self, key: &str) -> Version {
+        let row = match self.overruled.get(key) {
+            Some(stored) => stored.as_ref(),
+            None => self.rows.get(key),
+        };
+        row.map(|row| row.version).unwrap_or_default()
+    }
 }
 
 impl<T: Clone> Table<T> {
@@ -152,6 +361,9 @@
         if self.changed <= base {
             return None;
         }
+        if base.era() < self.version.era() {
+            return Some(self.whole_table());
+        }
         let Some(removed) = self.tombstones.after(base) else {
             return Some(self.whole_table());
         };
@@ -168,6 +380,7 @@
             base: Some(base),
             version,
             changes,
+            overruled: Vec::new(),
         })
     }
 
@@ -175,7 +388,9 @@
     #[must_use]
     pub fn exceeds_message(&self, base: Version) -> bool {
         let is_ahead = self.changed > base && self.rows.len() > MAX_WHOLE_ROWS;
-        is_ahead && self.tombstones.after(base).is_none()
+        let lacks_history =
+            base.era() < self.version.era() || self.tombstones.after(base).is_none();
+        is_ahead && lacks_history
     }
 
     fn whole_table(&self) -> Patch<T> {
@@ -183,6 +398,7 @@
             base: None,
             version: self.version,
             changes: self.rows.iter().map(Change::from_row).collect(),
+            overruled: self.overruled.clone().into_iter().collect(),
         }
     }
 }
@@ -219,6 +435,10 @@
     Some(last)
 }
 
+fn into_rows<T>(rows: Vec<Change<T>>) -> BTreeMap<String, Row<T>> {
+    rows.into_iter().filter_map(Change::into_row).collect()
+}
+
 fn has_same_values<T: PartialEq>(
     before: &BTreeMap<String, Row<T>>,
     after: &BTreeMap<String, Row<T>>,
--- a/crates/cloverpost-core/src/directory/upstream.rs
+++ b/crates/cloverpost-core/src/directory/upstream.rs
@@ -38,4 +38,18 @@
     pub fn is_restart_of(&self, other: &Self) -> bool {
         self.born_ms != other.born_ms || self.address != other.address
     }
+
+    /// This upstream, whose row was read after `known`. A process that leaves does not come back:
+    /// a row that says otherwise is older.
+    #[must_use]
+    pub fn after(self, known: &Self) -> Self {
+        let is_leaving = self.is_leaving || known.is_leaving && !self.is_restart_of(known);
+        Self { is_leaving, ..self }
+    }
+
+    /// Whether this is an earlier process than `other`, with the same id.
+    #[must_use]
+    pub fn is_former(&self, other: &Self) -> bool {
+        self.born_ms < other.born_ms
+    }
 }
--- a/crates/cloverpost-core/src/directory/view.rs
+++ b/crates/cloverpost-core/src/directory/view.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
-use crate::directory::{Image, Index, Order, Progress, State, Upstream};
+use crate::directory::{Exceptions, Image, Index, Order, Progress, State, Upstream};
 use crate::id;
 
 /// The versions of a service that may receive requests.
@@ -22,7 +22,7 @@
 /// A rollout that is in progress.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rollout {
-    /// Version of the order's row; identifies the rollout.
+    /// Version that the order's row had when the rollout began; identifies the rollout.
     pub order: crate::directory::Version,
     /// The version that is replaced, if known.
     pub base: Option<id::Version>,
@@ -68,10 +68,10 @@
 }
 
 impl View {
-    /// Indexes `image` together with `missing`, upstreams that are absent from it but still in
-    /// use. Reuses the configuration index of `last` if the configuration has not changed.
+    /// Indexes `image` with `exceptions` to its upstreams. Reuses the configuration index of `last`
+    /// if the configuration has not changed.
     #[must_use]
-    pub fn new(image: &Image, missing: &[&Upstream], last: &Self) -> Self {
+    pub fn new(image: &Image, exceptions: &Exceptions<'_>, last: &Self) -> Self {
         let configuration = image.configuration.rows.values().next();
         let index = configuration.map(|row| match &last.index {
             Some(index) if index.number() == row.value.number => index.clone(),
@@ -82,9 +82,10 @@
         let mut pools = BTreeMap::<id::Pool, Pool>::new();
         let listed = image.upstreams.rows.values().map(|row| &row.value);
         let listed = listed.filter(|one| !one.is_leaving);
+        let listed = listed.filter(|one| !exceptions.withheld.contains(one.id.as_str()));
         // Excluding evacuated zones here covers every selection: first sends, retries, resumed
         // streams and the evaluation of new versions.
-        let usable = listed.chain(missing.iter().copied());
+        let usable = listed.chain(exceptions.retained.iter().copied());
         let usable = usable.filter(|one| !evacuated.contains(&one.zone));
         for upstream in usable {
             let pool = pools
@@ -154,7 +155,7 @@
         State::Completed => Allowed::Only(progress.target.clone()),
         State::Reverted => Allowed::Except(progress.target.clone()),
         State::InProgress => Allowed::Rollout(Rollout {
-            order: progress.order,
+            order: progress.rollout,
             base: progress.base.clone(),
             target: progress.target.clone(),
             started_ms: progress.started_ms,
--- a/crates/cloverpost-core/tests/behaviour/cold/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/cold/mod.rs
@@ -4,7 +4,8 @@
 
 use cloverpost_core::cold::{Limit, Options, Register};
 use cloverpost_core::directory::{
-    Configuration, Evacuation, Image, Member, Row, Service, Size, Upstream, Version, View,
+    Configuration, Evacuation, Exceptions, Image, Member, Row, Service, Size, Upstream, Version,
+    View,
 };
 use cloverpost_core::quota::Senders;
 use cloverpost_core::time;
@@ -104,7 +105,7 @@
             .rows
             .insert("a".to_owned(), row(evacuation));
     }
-    View::new(&image, &[], &View::default())
+    View::new(&image, &Exceptions::default(), &View::default())
 }
 
 /// Register of the VM `number` among `members` after `views`, applied 1 ms apart.
--- a/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/fetch.rs
@@ -6,7 +6,7 @@
 use cloverpost_core::directory::encoded::{MAX_TABLE_BYTES, PIECE_BYTES};
 use cloverpost_core::directory::fetch::{Fetched, Request};
 use cloverpost_core::directory::{
-    Configuration, Encodings, Era, Fetch, Image, Member, Page, Piece, Rows, Size, Table, Upstream,
+    Configuration, Encodings, Fetch, Image, Member, Page, Piece, Rows, Size, Table, Upstream,
     Version,
 };
 use cloverpost_core::id;
@@ -299,7 +299,6 @@
             orders: Vec::new(),
             evacuations: Vec::new(),
         },
-        era: Era::default(),
         version: Version::new(90),
         now_ms: 0,
         unreadable: Vec::new(),
@@ -343,7 +342,7 @@
             match piece {
                 Some(piece) if !failures.next().unwrap_or(false) => {
                     if let Some(fetched) = fetch.receive(&request.holder.vm, &piece, Moment::default()) {
-                        let expected = table(fetched.version.get(), 600);
+                        let expected = table(fetched.version.counter(), 600);
                         prop_assert_eq!(&fetched.rows[0].value, &Some(expected.rows["config"].value.clone()));
                         own = fetched.version;
                     }
--- a/crates/cloverpost-core/tests/behaviour/directory/image.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/image.rs
@@ -1,6 +1,6 @@
 //! Updates of a copy of the store's tables.
 
-use cloverpost_core::directory::{Change, Era, Image, Page, Rows, Update, Upstream, Version};
+use cloverpost_core::directory::{Change, Image, Page, Rows, Update, Upstream, Version};
 use proptest::prelude::*;
 
 use super::{change, configuration, upstream};
@@ -8,7 +8,6 @@
 fn page(version: u64, changes: Vec<Change<Upstream>>) -> Page {
     Page {
         rows: Rows::Upstreams(changes),
-        era: Era::default(),
         version: Version::new(version),
         now_ms: 0,
         unreadable: Vec::new(),
@@ -22,7 +21,6 @@
             orders: Vec::new(),
             evacuations: Vec::new(),
         },
-        era: Era::default(),
         version: Version::new(version),
         now_ms: 0,
         unreadable: Vec::new(),
@@ -89,6 +87,7 @@
     // advances with changes of other tables too.
     let mut image = Image::default();
     image.replace(operators(3, 1));
+    image.replace(page(3, vec![change("i-1", 3, Some(upstream("i-1", "v1")))]));
     let peer = image.clone();
     image.apply(Page {
         version: Version::new(9),
@@ -99,12 +98,17 @@
         },
         ..operators(9, 1)
     });
-    assert_eq!(image.versions().configuration, Version::new(9));
-    assert_eq!(image.changes().configuration, Version::new(3));
+    image.apply(page(9, Vec::new()));
+    assert_eq!(image.versions().orders, Version::new(9));
+    assert_eq!(image.changes().orders, Version::new(3));
+    assert_eq!(image.versions().upstreams, Version::new(9));
+    assert_eq!(image.changes().upstreams, Version::new(3));
+    assert_eq!(image.versions().configuration, configuration(1).version());
+    assert_eq!(image.changes().configuration, configuration(1).version());
     assert!(!peer.versions().is_older_than(&image.changes()));
     let update = image.since(&peer.versions());
-    assert_eq!(update.configuration, Version::new(3));
-    assert_eq!(update.orders, None);
+    assert_eq!(update.configuration, configuration(1).version());
+    assert_eq!((update.orders, update.upstreams), (None, None));
 }
 
 /// Steps of the store: the key of an upstream, and whether it is listed after the step.
@@ -142,7 +146,7 @@
                 copy.apply(pages[seen].clone());
                 seen += 1;
             }
-            let version = usize::try_from(copy.upstreams.version.get()).unwrap();
+            let version = usize::try_from(copy.upstreams.version.counter()).unwrap();
             prop_assert_eq!(copy.upstreams.version, states[version].upstreams.version);
             prop_assert_eq!(&copy.upstreams.rows, &states[version].upstreams.rows);
         }
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -77,6 +77,7 @@
         state,
         base: None,
         order: Version::new(order),
+        rollout: Version::new(order),
         started_ms: 1_000,
         ordered_ms: 1_000,
     }
--- a/crates/cloverpost-core/tests/behaviour/directory/view.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/view.rs
@@ -1,7 +1,7 @@
 //! Upstreams and versions that may receive requests.
 
 use cloverpost_core::directory::{
-    self, Allowed, Image, Processes, Row, State, Upstream, Version, View,
+    self, Allowed, Exceptions, Image, Processes, Row, State, Upstream, Version, View,
 };
 
 use super::{configuration, order, progress, upstream};
@@ -23,7 +23,7 @@
 }
 
 fn allowed(image: &Image) -> Allowed {
-    let view = View::new(image, &[], &View::default());
+    let view = View::new(image, &Exceptions::default(), &View::default());
     view.pools.values().next().unwrap().allowed.clone()
 }
 
@@ -41,7 +41,7 @@
     leaving.is_leaving = true;
     let view = View::new(
         &image(&[leaving, upstream("i-2", "v1")]),
-        &[],
+        &Exceptions::default(),
         &View::default(),
     );
     let pool = view.pools.values().next().unwrap();
@@ -107,24 +107,42 @@
 #[test]
 fn an_upstream_missing_since_an_outage_is_still_used() {
     let lost = upstream("i-9", "v1");
-    let view = View::new(&image(&[upstream("i-1", "v1")]), &[&lost], &View::default());
+    let exceptions = Exceptions {
+        retained: vec![&lost],
+        ..Exceptions::default()
+    };
+    let image = image(&[upstream("i-1", "v1")]);
+    let view = View::new(&image, &exceptions, &View::default());
     assert_eq!(view.pools.values().next().unwrap().upstreams.len(), 2);
 }
 
+#[test]
+fn an_upstream_that_is_withheld_gets_no_work() {
+    let exceptions = Exceptions {
+        withheld: ["i-1"].into(),
+        ..Exceptions::default()
+    };
+    let image = image(&[upstream("i-1", "v1"), upstream("i-2", "v1")]);
+    let view = View::new(&image, &exceptions, &View::default());
+    let pool = view.pools.values().next().unwrap();
+    assert_eq!(pool.upstreams.len(), 1);
+    assert_eq!(pool.upstreams[0].id.as_str(), "i-2");
+}
+
 #[test]
 fn the_index_is_reused_while_the_configuration_is_unchanged() {
     let mut image = mixed();
     let rows = &mut image.configuration.rows;
     rows.insert("config".to_owned(), row(3, configuration(1)));
-    let first = View::new(&image, &[], &View::default());
-    let second = View::new(&image, &[], &first);
+    let first = View::new(&image, &Exceptions::default(), &View::default());
+    let second = View::new(&image, &Exceptions::default(), &first);
     let (first, second) = (first.index.unwrap(), second.index.unwrap());
     assert!(std::sync::Arc::ptr_eq(&first, &second));
 }
 
 /// Ids of the upstreams that `processes` reports as restarted after a view of `upstreams`.
 fn restarted(processes: &mut Processes, upstreams: &[Upstream]) -> Vec<String> {
-    let view = View::new(&image(upstreams), &[], &View::default());
+    let view = View::new(&image(upstreams), &Exceptions::default(), &View::default());
     let found = processes.update(&view);
     found.iter().map(|one| one.id.to_string()).collect()
 }
@@ -221,7 +239,9 @@
 
 #[test]
 fn a_pool_lists_upstreams_missing_from_another() {
-    let view = |upstreams: &[Upstream]| View::new(&image(upstreams), &[], &View::default());
+    let view = |upstreams: &[Upstream]| {
+        View::new(&image(upstreams), &Exceptions::default(), &View::default())
+    };
     let one = view(&[upstream("i-1", "v1"), upstream("i-2", "v1")]);
     let other = view(&[upstream("i-2", "v1"), upstream("i-3", "v1")]);
     let pool = |view: &View| view.pools.values().next().unwrap().clone();
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -11,11 +11,12 @@
 mod quarantine;
 mod rate_limits;
 mod rejections;
+mod restore;
 mod tables;
 mod view_log;
 mod writes;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -65,8 +66,15 @@
     /// Upstreams whose registrations expired during a store outage, with the time until which they
     /// stay in use.
     retained_upstreams: HashMap<String, (Upstream, time::Moment)>,
-    /// The store's era in its last response.
-    store_era: Era,
+    /// The latest era of the store that this VM knows of.
+    era: watch::Sender<Era>,
+    /// When this VM learnt that the store came back from a copy.
+    restored: Option<time::Moment>,
+    /// Upstreams that were removed and stand in a copy of the store again, with the time until which
+    /// they are not used.
+    withheld_upstreams: HashMap<String, (Upstream, time::Moment)>,
+    /// Tables and keys of the rows that are kept against the store's word, as logged.
+    logged_overruled: BTreeSet<(&'static str, String)>,
     /// Unreadable rows already logged, with the logged version.
     logged_unreadable: HashMap<(Topic, String), Version>,
     /// Topics whose last store call failed, with the time of the last failure.
@@ -138,7 +146,10 @@
             context,
             image: Image::default(),
             retained_upstreams: HashMap::new(),
-            store_era: Era::default(),
+            era: watch::Sender::new(Era::default()),
+            restored: None,
+            withheld_upstreams: HashMap::new(),
+            logged_overruled: BTreeSet::new(),
             logged_unreadable: HashMap::new(),
             failed_topics: HashMap::new(),
             is_store_unavailable: false,
@@ -188,12 +199,14 @@
                 metrics: state.context.shared.metrics.clone(),
                 breaker: state.breaker.clone(),
                 leave: state.context.shared.settings.load().leave,
+                era: state.era.subscribe(),
             };
             tokio::spawn(follower.run(wanted));
         }
         tokio::spawn(periodic::register(
             state.context.store.clone(),
             state.context.own.clone(),
+            state.context.shared.clone(),
             state.is_unlisted.subscribe(),
         ));
         if let Some(facts) = state.context.shared.quarantine.take_outgoing() {
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -1,5 +1,6 @@
 //! Periodic tasks of the control actor.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use cloverpost_core::directory::Member;
@@ -10,7 +11,7 @@
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
 use crate::gateway::store::{Error, Store, Topic};
-use crate::gateway::{pushback, rollouts};
+use crate::gateway::{Shared, pushback, rollouts};
 
 /// Interval between requests to random peers while the store is unavailable.
 const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
@@ -31,6 +32,9 @@
 /// Maximum random delay of the first registration. Spreads the writes of VMs that start together,
 /// since a partition of the store takes 150 writes per second.
 const REGISTER_JITTER: Duration = Duration::from_millis(900);
+/// Time for the registration of each VM of the fleet. All of them may have to register again when the
+/// store comes back from a copy, and one partition of it takes 150 writes per second.
+const REGISTER_SPACING: Duration = Duration::from_millis(12);
 /// Maximum backoff after a failed registration.
 const REGISTER_BACKOFF_MAX: Duration = Duration::from_secs(2);
 /// Time after which a registration is repeated if the member list still lacks this VM.
@@ -44,6 +48,7 @@
         if self.retained_upstreams.len() != retained {
             self.publish();
         }
+        self.end_restore(now);
         let is_stale = now.since(self.last_store_contact) > STALE_AFTER;
         let may_lack_changes = is_stale || !self.failed_topics.is_empty();
         if may_lack_changes && now.since(self.last_request) > PEER_REQUEST_INTERVAL {
@@ -125,7 +130,12 @@
 
 async fn write<S: Store>(store: &S, step: &rollouts::Step) -> Result<(), Error> {
     let progress = &step.progress;
-    let result = store.write_progress(progress, step.expected).await;
+    let result = match store.write_progress(progress, step.expected).await {
+        // The store compared a version of another era, which may be of another row.
+        Ok(era) if era != step.era => Err(Error::Conflict),
+        Ok(_) => Ok(()),
+        Err(error) => Err(error),
+    };
     let outcome = match &result {
         Ok(()) => "written".to_owned(),
         Err(error) => error.to_string(),
@@ -142,25 +152,25 @@
 ///
 /// Existing rows are not rewritten, because every write is delivered to all followers of the list:
 /// rewritten by 295 VMs that start together, each follower would get 295 of them.
-pub(super) async fn register<S: Store>(
+pub(super) async fn register<C: Codec, S: Store>(
     store: S,
     own: Member,
+    shared: Arc<Shared<C>>,
     mut is_unlisted: watch::Receiver<bool>,
 ) {
     let mut backoff = REGISTER_BACKOFF;
-    let jitter = REGISTER_JITTER.mul_f64(rand::random());
-    if is_unlisted
-        .wait_for(|is_unlisted| *is_unlisted)
-        .await
-        .is_ok()
-    {
-        tokio::time::sleep(jitter).await;
-    }
+    let mut is_delayed = false;
     while is_unlisted
         .wait_for(|is_unlisted| *is_unlisted)
         .await
         .is_ok()
     {
+        if !is_delayed {
+            is_delayed = true;
+            let spread = REGISTER_JITTER.max(REGISTER_SPACING * shared.fleet().vms());
+            tokio::time::sleep(spread.mul_f64(rand::random())).await;
+            continue;
+        }
         let result = store.register(&own).await;
         let outcome = match &result {
             Ok(()) => "written".to_owned(),
@@ -177,6 +187,7 @@
                 continue;
             }
             backoff = REGISTER_BACKOFF;
+            is_delayed = false;
         } else {
             tokio::time::sleep(backoff.mul_f64(rand::random_range(0.5..1.0))).await;
             backoff = (backoff * 2).min(REGISTER_BACKOFF_MAX);
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -5,7 +5,7 @@
 
 use cloverpost_core::directory::fetch::Fetched;
 use cloverpost_core::directory::{
-    Configuration, Era, Member, Page, Unreadable, Update, Upstream, View, watchers,
+    Configuration, Exceptions, Member, Page, Unreadable, Update, Upstream, View, watchers,
 };
 use cloverpost_core::{directory, quota, time};
 use tokio::sync::watch;
@@ -18,7 +18,7 @@
 
 /// How long upstreams missing from a recovered store stay in use. Their registrations expire
 /// during an outage, and live upstreams register again within about two seconds.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
+pub(super) const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
 /// Time without store contact after which an outage is assumed; spans two missed heartbeats.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum number of unreadable rows remembered to avoid logging them again, at about 200 bytes
@@ -27,12 +27,14 @@
 
 impl<C: Codec, S: Store> State<C, S> {
     pub(super) fn apply_page(&mut self, topic: Topic, page: Page, is_full: bool) {
+        if self.is_outdated(topic, &page) {
+            return;
+        }
         let now = self.now();
+        self.observe_era(page.version.era(), topic.as_str());
         self.record_store_contact(now);
         self.last_store_response = now;
         self.context.shared.set_store_now_ms(page.now_ms);
-        self.record_era(topic, page.era);
-        self.record_ignored_page(topic, &page, is_full);
         self.log_unreadable(topic, &page.unreadable);
         if let Some(since) = self.failed_topics.remove(&topic) {
             let away_ms = millis(now.since(since));
@@ -55,6 +57,7 @@
         if topic == Topic::Upstreams {
             self.retain_expired_upstreams(before.as_ref(), now);
         }
+        self.log_overruled();
         if changed {
             self.publish();
             if topic == Topic::Operators {
@@ -64,35 +67,6 @@
         }
     }
 
-    fn record_era(&mut self, topic: Topic, era: Era) {
-        if era != self.store_era {
-            log::info!(topic = topic.as_str(), before:% = self.store_era, now:% = era; "the store is in another era");
-            self.store_era = era;
-            let era = i64::try_from(era.get()).unwrap_or(i64::MAX);
-            self.context.shared.metrics.store_era.set(era);
-        }
-    }
-
-    /// Logs and counts a page that is not newer than the copy.
-    fn record_ignored_page(&self, topic: Topic, page: &Page, is_full: bool) {
-        let versions = self.image.versions();
-        let own = match topic {
-            Topic::Operators => versions.orders,
-            Topic::Upstreams => versions.upstreams,
-            Topic::Progress => versions.progress,
-            Topic::Members => versions.members,
-        };
-        if page.version >= own {
-            return;
-        }
-        let ignored = &self.context.shared.metrics.ignored_pages;
-        ignored.with_label_values(&[topic.as_str()]).inc();
-        log::warn!(
-            topic = topic.as_str(), era:% = page.era, version:% = page.version, own:% = own, is_full;
-            "the store's response is older than the copy and is ignored"
-        );
-    }
-
     /// Logs and counts unreadable rows, once per row version, since full reads return them
     /// repeatedly.
     fn log_unreadable(&mut self, topic: Topic, rows: &[Unreadable]) {
@@ -129,15 +103,18 @@
         before: Option<&directory::Table<Upstream>>,
         now: time::Moment,
     ) {
+        self.withhold_restored_upstreams(before, now);
         let rows = &self.image.upstreams.rows;
+        let withheld = &self.withheld_upstreams;
         self.retained_upstreams
-            .retain(|key, _| !rows.contains_key(key));
+            .retain(|key, _| !rows.contains_key(key) || withheld.contains_key(key));
         let Some(recovered) = self.store_recovered else {
             return;
         };
         let until = recovered + RECOVERY_GRACE;
         for (key, row) in before.into_iter().flat_map(|before| &before.rows) {
-            if now < until && !rows.contains_key(key) && !row.value.is_leaving {
+            let is_absent = !rows.contains_key(key) || withheld.contains_key(key);
+            if now < until && is_absent && !row.value.is_leaving {
                 self.retained_upstreams
                     .insert(key.clone(), (row.value.clone(), until));
             }
@@ -200,6 +177,7 @@
             let recovered = time::Moment::new(now.since_start().saturating_sub(ago));
             self.store_recovered = self.store_recovered.max(Some(recovered));
         }
+        self.observe_era(update.era(), peer.vm.as_str());
         let before = self.image.versions();
         let upstreams = self.upstreams_before_change(now);
         if self.image.update(update) {
@@ -208,17 +186,18 @@
             let after = self.image.versions();
             let took_ms = millis(took);
             log::info!(peer = peer.vm.as_str(), took_ms, before:? = before, after:? = after; "took newer tables from a peer");
+            self.log_overruled();
             self.publish();
         }
     }
 
     /// Applies a configuration fetched from peers.
     pub(super) fn apply_configuration(&mut self, fetched: Fetched<Configuration>) {
-        let version = fetched.version;
         let took_ms = millis(self.now().since(fetched.since));
         if self.image.replace_configuration(fetched) {
             self.context.shared.metrics.tables_from_peers.inc();
-            log::info!(version:% = version, took_ms; "took a newer configuration from peers");
+            let version = self.image.configuration.version;
+            log::info!(version:%, took_ms; "took a newer configuration from peers");
             self.publish();
         }
     }
@@ -227,6 +206,7 @@
     pub(super) fn replace_upstreams(&mut self, fetched: Fetched<Upstream>) {
         let now = self.now();
         let (version, took_ms) = (fetched.version, millis(now.since(fetched.since)));
+        self.observe_era(fetched.snapshot_version.era(), "peers");
         let before = self.upstreams_before_change(now);
         if self.image.replace_upstreams(fetched) {
             self.retain_expired_upstreams(before.as_ref(), now);
@@ -279,12 +259,12 @@
     fn publish_view(&mut self) {
         let shared = &self.context.shared;
         let last = shared.view.load_full();
-        let retained: Vec<_> = self
-            .retained_upstreams
-            .values()
-            .map(|(upstream, _)| upstream)
-            .collect();
-        let view = View::new(&self.image, &retained, &last);
+        let retained = self.retained_upstreams.values();
+        let exceptions = Exceptions {
+            retained: retained.map(|(upstream, _)| upstream).collect(),
+            withheld: self.withheld_upstreams.keys().map(String::as_str).collect(),
+        };
+        let view = View::new(&self.image, &exceptions, &last);
         view_log::log_changes(&last, &view);
         let upstreams: usize = view.pools.values().map(|pool| pool.upstreams.len()).sum();
         shared
@@ -367,7 +347,8 @@
     fn is_listed(&self) -> bool {
         let own = &self.context.own;
         let row = self.image.members.rows.get(own.vm.as_str());
-        row.is_some_and(|row| row.value == *own)
+        let is_lost = self.image.members.overruled.contains_key(own.vm.as_str());
+        row.is_some_and(|row| row.value == *own) && !is_lost
     }
 }
 
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use cloverpost_core::directory::{Page, Version};
+use cloverpost_core::directory::{Era, Page, Version};
 use ractor::ActorRef;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -68,6 +68,8 @@
     pub breaker: Breaker,
     /// Time within which a leaving upstream must stop receiving new requests.
     pub leave: Duration,
+    /// The latest era of the store that this VM knows of.
+    pub era: watch::Receiver<Era>,
 }
 
 /// Progress of following a topic.
@@ -105,17 +107,34 @@
 
     /// Long-polls for changes after `version`.
     async fn poll_changes(&self, version: Version, last_read: Instant) -> Cursor {
+        if version.era() < *self.era.borrow() {
+            return Cursor::Loading(None);
+        }
         let permit = self.breaker.acquire().await;
         let started = Instant::now();
         let wait = permit.long_poll_timeout(timing(self.topic, self.leave).wait);
-        let result = self.store.follow(self.topic, version, wait).await;
+        let mut era = self.era.clone();
+        let result = tokio::select! {
+            result = self.store.follow(self.topic, version, wait) => result,
+            // The store may leave this call unanswered until its wait is over.
+            Ok(_) = era.wait_for(|era| *era > version.era()) => {
+                log::info!(topic = self.topic.as_str(), version:%; "the store came back from a copy; reading the whole table");
+                return Cursor::Loading(None);
+            }
+        };
         self.record_call(result.as_ref().err(), started);
         permit.record(matches!(result, Ok(_) | Err(Error::HistoryUnavailable)));
         match result {
             Ok(page) => {
-                let cursor = Cursor::Following(page.version, last_read);
-                self.send_page(page, false).await;
-                cursor
+                let next = page.version;
+                self.send_page(page, false);
+                if next.era() > version.era() {
+                    // The feed went on in another history.
+                    return Cursor::Loading(None);
+                }
+                self.pause().await;
+                // A late response may be from before the store came back from a copy.
+                Cursor::Following(next.max(version), last_read)
             }
             Err(Error::HistoryUnavailable) => {
                 log::info!(topic = self.topic.as_str(); "change feed no longer has the requested version; reading the whole table");
@@ -148,6 +167,10 @@
         };
         let page = match loaded {
             None => read.page,
+            Some((page, _)) if page.version.era() != read.page.version.era() => {
+                // The store came back from a copy between the two pages.
+                return Cursor::Loading(None);
+            }
             Some((mut page, _)) => {
                 page.join(read.page);
                 page
@@ -156,12 +179,16 @@
         if let Some(after) = read.next_after {
             return Cursor::Loading(Some((page, after)));
         }
-        let cursor = Cursor::Following(page.version, Instant::now());
-        self.send_page(page, true).await;
-        cursor
+        let version = page.version;
+        self.send_page(page, true);
+        self.pause().await;
+        if version.era() < *self.era.borrow() {
+            return Cursor::Loading(None);
+        }
+        Cursor::Following(version, Instant::now())
     }
 
-    async fn send_page(&self, page: Page, is_full: bool) {
+    fn send_page(&self, page: Page, is_full: bool) {
         let topic = self.topic;
         let page = Box::new(page);
         self.send(Command::PageRead {
@@ -169,7 +196,16 @@
             page,
             is_full,
         });
-        sleep(timing(topic, self.leave).pause).await;
+    }
+
+    /// Waits to batch changes, but not if the store comes back from a copy meanwhile.
+    async fn pause(&self) {
+        let mut era = self.era.clone();
+        let known = *era.borrow();
+        tokio::select! {
+            () = sleep(timing(self.topic, self.leave).pause) => {}
+            Ok(_) = era.wait_for(|era| *era > known) => {}
+        }
     }
 
     fn report_failure(&self, error: Error) {
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod eras;
 mod fragile;
 mod paths;
 mod peers;
@@ -18,6 +19,7 @@
 
 use crate::peer;
 
+pub use eras::Eras;
 pub use fragile::Fragile;
 pub use paths::Paths;
 pub use peers::Peers;
@@ -85,10 +87,8 @@
     pub store_seconds: Histogram,
     /// Unreadable rows of the store, by topic; each row version counts once.
     pub unreadable_rows: IntCounterVec,
-    /// Number of the copy from which the store last came back.
-    pub store_era: IntGauge,
-    /// Responses of the store that are older than the copy, by topic.
-    pub ignored_pages: IntCounterVec,
+    /// Returns of the store from a copy.
+    pub eras: Eras,
     /// Number of the configuration in force.
     pub configuration: IntGauge,
     /// Upstreams in use.
@@ -197,15 +197,7 @@
                 "rows of the store that could not be read",
                 &["topic"],
             ),
-            store_era: gauge(
-                "store_era",
-                "number of the copy from which the store last came back",
-            ),
-            ignored_pages: counters(
-                "ignored_pages_total",
-                "responses of the store that are older than the copy",
-                &["topic"],
-            ),
+            eras: Eras::register(&registry),
             configuration: gauge("configuration", "number of the configuration in force"),
             upstreams: gauge("upstreams", "upstreams that take work"),
             evacuated_zones: gauge(
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Image, Order, Progress, State, Version, View};
+use cloverpost_core::directory::{Era, Image, Order, Progress, State, Version, View};
 use cloverpost_core::{directory, exposure, id};
 
 use crate::gateway::Shared;
@@ -23,6 +23,8 @@
     pub progress: Progress,
     /// Expected version of the state's row.
     pub expected: Version,
+    /// The store's era that the copy of the row is from.
+    pub era: Era,
     /// How long the step is deferred to other VMs once due.
     pub delay: Duration,
     /// The reason, for the log.
@@ -31,8 +33,11 @@
     pub evidence: String,
 }
 
-/// Returns whether any ordered rollout has not finished.
+/// Returns whether any ordered rollout has not finished, or the store may not have its state.
 pub fn any_open(image: &Image) -> bool {
+    if image.has_outdated_progress() || !image.progress.overruled.is_empty() {
+        return true;
+    }
     image.orders.rows.values().any(|order| {
         let progress = image.progress.rows.get(order.value.service.as_str());
         progress.is_none_or(|progress| {
@@ -57,8 +62,14 @@
     version: Version,
     order_age: Duration,
 ) -> Option<Step> {
-    let row = image.progress.rows.get(order.service.as_str());
-    let expected = row.map_or(Version::default(), |row| row.version);
+    if image.has_outdated_progress() {
+        // The store may have lost the row that a write would be based on.
+        return None;
+    }
+    let service = order.service.as_str();
+    let row = image.progress.rows.get(service);
+    let expected = image.progress.stored_version(service);
+    let era = image.orders.version.era();
     let current = row
         .map(|row| &row.value)
         .filter(|progress| progress.belongs_to(order, version));
@@ -68,15 +79,27 @@
         return Some(Step {
             progress: initial_progress(image, order, version, shared.store_now_ms(), order_age),
             expected,
+            era,
             delay: exposure::write_delay(&order.service, vms(), own),
             reason: "ordered",
             evidence: String::new(),
         });
     };
-    if current.state != State::InProgress {
-        return None;
-    }
-    let (state, reason) = final_state(shared, image, order, current)?;
+    let decided = match current.state {
+        State::InProgress => final_state(shared, image, order, current),
+        State::Completed | State::Reverted => None,
+    };
+    let Some((state, reason)) = decided else {
+        let is_lost = image.progress.overruled.contains_key(service);
+        return is_lost.then(|| Step {
+            progress: current.clone(),
+            expected,
+            era,
+            delay: exposure::write_delay(&order.service, vms(), own),
+            reason: "the store has lost this state",
+            evidence: String::new(),
+        });
+    };
     let progress = Progress {
         state,
         ..current.clone()
@@ -84,6 +107,7 @@
     Some(Step {
         progress,
         expected,
+        era,
         // Reverting is urgent, and only aggregators, which hold the evidence, do it.
         delay: if state == State::Reverted {
             Duration::ZERO
@@ -91,7 +115,7 @@
             exposure::completion_delay(&order.service, vms(), own)
         },
         reason,
-        evidence: shared.evidence().summary(&order.service, version),
+        evidence: shared.evidence().summary(&order.service, current.rollout),
     })
 }
 
@@ -109,6 +133,7 @@
         state: State::InProgress,
         base: directory::base(image, order),
         order: version,
+        rollout: version,
         started_ms: now_ms,
         ordered_ms: now_ms.saturating_sub(age_ms),
     }
@@ -138,12 +163,12 @@
     if is_aggregator
         && shared
             .evidence()
-            .check_regression(&order.service, current.order)
+            .check_regression(&order.service, current.rollout)
     {
         return Some((State::Reverted, "the new version answers worse"));
     }
     let rollout = directory::Rollout {
-        order: current.order,
+        order: current.rollout,
         base: current.base.clone(),
         target: order.target.clone(),
         started_ms: current.started_ms,
@@ -156,7 +181,7 @@
     }
     let responses = shared
         .evidence()
-        .new_version_responses(&order.service, current.order);
+        .new_version_responses(&order.service, current.rollout);
     let may_complete = responses >= MIN_RESPONSES || stage.is_near_deadline;
     may_complete.then_some((State::Completed, "the new version answers well"))
 }
@@ -178,15 +203,14 @@
 /// Returns the rollouts in progress.
 pub fn in_progress(image: &Image) -> BTreeSet<(id::Pool, Version)> {
     let orders = image.orders.rows.values();
-    let open = orders.filter(|row| {
+    let open = orders.filter_map(|row| {
         let progress = image.progress.rows.get(row.value.service.as_str());
-        let progress = progress.map(|progress| &progress.value);
-        progress.is_some_and(|progress| {
-            progress.belongs_to(&row.value, row.version) && progress.state == State::InProgress
-        })
+        let progress = progress.map(|progress| &progress.value)?;
+        let is_open =
+            progress.belongs_to(&row.value, row.version) && progress.state == State::InProgress;
+        is_open.then(|| (row.value.service.clone(), progress.rollout))
     });
-    open.map(|row| (row.value.service.clone(), row.version))
-        .collect()
+    open.collect()
 }
 
 /// Returns whether any upstream of `service` runs `version`.
--- a/crates/cloverpost/src/gateway/store.rs
+++ b/crates/cloverpost/src/gateway/store.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::time::Duration;
 
-use cloverpost_core::directory::{self, Member, Progress, Version};
+use cloverpost_core::directory::{self, Era, Member, Progress, Version};
 
 /// Tables with a change feed of their own.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -90,12 +90,13 @@
         wait: Duration,
     ) -> impl Future<Output = Result<directory::Page, Error>> + Send;
 
-    /// Writes a rollout state if its row has version `expected`; version 0 means no row.
+    /// Writes a rollout state if its row has version `expected`; version 0 means no row. The store
+    /// compares the counter only; returns the era in which it did.
     fn write_progress(
         &self,
         progress: &Progress,
         expected: Version,
-    ) -> impl Future<Output = Result<(), Error>> + Send;
+    ) -> impl Future<Output = Result<Era, Error>> + Send;
 
     /// Adds this VM to the member list.
     fn register(&self, member: &Member) -> impl Future<Output = Result<(), Error>> + Send;
