fix(cloverpost-core): a leaving known of an earlier era is kept for its process, whoever tells otherwise; model of a store that comes back

What is kept now is a leaving of an earlier era, against rows of later ones and older rows that a peer tells; the row keeps its version, so that peers keep it too.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -118,8 +118,7 @@
                 differs
             }
             Rows::Upstreams(changes) => {
-                let changes = self.after_known(changes);
-                self.upstreams.apply(changes, version)
+                self.change_upstreams(changes, |table, rows| table.apply(rows, version))
             }
             Rows::Progress(changes) => {
                 let outlasts = Progress::outlasts;
@@ -146,8 +145,7 @@
                 differs
             }
             Rows::Upstreams(rows) => {
-                let rows = self.after_known(rows);
-                self.upstreams.replace(rows, version)
+                self.change_upstreams(rows, |table, rows| table.replace(rows, version))
             }
             Rows::Progress(rows) => self.progress.restore(rows, version, Progress::outlasts),
             Rows::Members(rows) => self.members.restore(rows, version, never),
@@ -164,8 +162,20 @@
             differs |= self.evacuations.restore_patch(patch, never);
         }
         if let Some(patch) = update.upstreams {
-            let changes = self.after_known(patch.changes);
-            differs |= self.upstreams.patch(Patch { changes, ..patch });
+            let Patch {
+                base,
+                version,
+                changes,
+                overruled,
+            } = patch;
+            differs |= self.change_upstreams(changes, |table, changes| {
+                table.patch(Patch {
+                    base,
+                    version,
+                    changes,
+                    overruled,
+                })
+            });
         }
         if let Some(patch) = update.progress {
             differs |= self.progress.restore_patch(patch, Progress::outlasts);
@@ -221,17 +231,47 @@
         differs
     }
 
-    /// `rows` with what is known of the same processes.
-    fn after_known(&self, rows: Vec<Change<Upstream>>) -> Vec<Change<Upstream>> {
-        let after_known = |row: Change<Upstream>| {
-            let known = self.upstreams.rows.get(&row.key);
-            let value = row.value.map(|one| match known {
-                Some(known) => one.after(&known.value),
-                None => one,
-            });
-            Change { value, ..row }
-        };
-        rows.into_iter().map(after_known).collect()
+    /// Changes the upstreams by `rows`, which `change` applies, but keeps the leavings that are
+    /// known of earlier eras. A process that leaves does not come back: a row of a later era that
+    /// says otherwise is from the store's copy, or was written again before the process says again
+    /// that it leaves.
+    fn change_upstreams(
+        &mut self,
+        mut rows: Vec<Change<Upstream>>,
+        change: impl FnOnce(&mut Table<Upstream>, Vec<Change<Upstream>>) -> bool,
+    ) -> bool {
+        let mut leaving = Vec::new();
+        for row in &mut rows {
+            let Some(known) = self.known_leaving(row) else {
+                continue;
+            };
+            leaving.push((row.key.clone(), known));
+            if let Some(value) = &mut row.value {
+                value.is_leaving = true;
+            }
+        }
+        let differs = change(&mut self.upstreams, rows);
+        for (key, version) in leaving {
+            // The earlier version tells peers, too, that rows of later eras do not end it.
+            let row = self.upstreams.rows.get_mut(&key);
+            if let Some(row) = row.filter(|row| row.value.is_leaving) {
+                row.version = version;
+            }
+        }
+        differs
+    }
+
+    /// Version of the row by which the process in `row`, which says nothing of it, is known to
+    /// leave.
+    fn known_leaving(&self, row: &Change<Upstream>) -> Option<Version> {
+        let value = row.value.as_ref()?;
+        let table = &self.upstreams;
+        let former = || table.superseded.of(&row.key).last();
+        let known = table.rows.get(&row.key).or_else(former)?;
+        let is_earlier_era = known.version.era() < row.version.era();
+        let is_newer = known.version > row.version;
+        let leaves = (is_earlier_era || is_newer) && known.value.leaves_after(value);
+        leaves.then_some(known.version)
     }
 
     /// Applies a configuration fetched from peers, and returns whether a value changed.
@@ -241,8 +281,8 @@
 
     /// Applies upstreams fetched from peers, and returns whether a value changed.
     pub fn replace_upstreams(&mut self, fetched: Fetched<Upstream>) -> bool {
-        let rows = self.after_known(fetched.rows);
-        self.upstreams.replace(rows, fetched.snapshot_version)
+        let version = fetched.snapshot_version;
+        self.change_upstreams(fetched.rows, |table, rows| table.replace(rows, version))
     }
 
     /// Takes the store's word where the copy kept what it knew of an earlier era. States of
--- a/crates/cloverpost-core/src/directory/upstream.rs
+++ b/crates/cloverpost-core/src/directory/upstream.rs
@@ -39,12 +39,10 @@
         self.born_ms != other.born_ms || self.address != other.address
     }
 
-    /// This upstream, whose row was read after `known`. A process that leaves does not come back:
-    /// a row that says otherwise is older.
+    /// Whether this is the same process as `other`, and has said since that it leaves.
     #[must_use]
-    pub fn after(self, known: &Self) -> Self {
-        let is_leaving = self.is_leaving || known.is_leaving && !self.is_restart_of(known);
-        Self { is_leaving, ..self }
+    pub fn leaves_after(&self, other: &Self) -> bool {
+        self.is_leaving && !other.is_leaving && !other.is_restart_of(self)
     }
 
     /// Whether this is an earlier process than `other`, with the same id.
--- a/crates/cloverpost-core/tests/behaviour/directory/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/mod.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod image;
 mod index;
+mod restore;
 mod table;
 mod view;
 mod watchers;
