--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -70,9 +70,9 @@
     era: watch::Sender<Era>,
     /// When this VM learnt that the store came back from a copy.
     restored: Option<time::Moment>,
-    /// Upstreams that were removed and stand in a copy of the store again, with the time until which
-    /// they are not used.
-    withheld_upstreams: HashMap<String, (Upstream, time::Moment)>,
+    /// Upstreams that were removed and stand in a copy of the store again, with the version of their
+    /// rows and the time until which they are not used.
+    withheld_upstreams: HashMap<String, (Version, time::Moment)>,
     /// Tables and keys of the rows that are kept against the store's word, as logged.
     logged_overruled: BTreeSet<(&'static str, String)>,
     /// Unreadable rows already logged, with the logged version.
--- a/crates/cloverpost/src/gateway/control/restore.rs
+++ b/crates/cloverpost/src/gateway/control/restore.rs
@@ -111,9 +111,10 @@
         now: time::Moment,
     ) {
         let table = &self.image.upstreams;
-        self.withheld_upstreams.retain(|key, (withheld, _)| {
+        // A row that is written again is of an upstream that lives.
+        self.withheld_upstreams.retain(|key, (version, _)| {
             let row = table.rows.get(key);
-            row.is_some_and(|row| !row.value.is_restart_of(withheld))
+            row.is_some_and(|row| row.version == *version)
         });
         let Some(before) = before.filter(|one| one.version.era() < table.version.era()) else {
             return;
@@ -121,7 +122,7 @@
         for (key, row) in &table.rows {
             if is_restored(before, key, &row.value) {
                 log::info!(upstream = key.as_str(); "an upstream that was removed stands in the store's copy and is not used");
-                let withheld = (row.value.clone(), now + WITHHOLD_TIME);
+                let withheld = (row.version, now + WITHHOLD_TIME);
                 self.withheld_upstreams.insert(key.clone(), withheld);
             }
         }
