fix(cloverpost): a VM that starts hears its peers before it serves what the store alone has told

Cause: the first view was published as soon as the store's tables were complete. It now waits until a peer has told its tables, the configuration that it told of is there, and 400 ms after the start at most; a VM without peers does not wait.

--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -68,6 +68,8 @@
     retained_upstreams: HashMap<String, (Upstream, time::Moment)>,
     /// The latest era of the store that this VM knows of.
     era: watch::Sender<Era>,
+    /// Whether a peer has told this VM of its tables since its start.
+    is_told: bool,
     /// When this VM learnt that the store came back from a copy.
     restored: Option<time::Moment>,
     /// Upstreams that were removed and stand in a copy of the store again, with the version of their
@@ -147,6 +149,7 @@
             image: Image::default(),
             retained_upstreams: HashMap::new(),
             era: watch::Sender::new(Era::default()),
+            is_told: false,
             restored: None,
             withheld_upstreams: HashMap::new(),
             logged_overruled: BTreeSet::new(),
--- a/crates/cloverpost/src/gateway/control/peer_requests.rs
+++ b/crates/cloverpost/src/gateway/control/peer_requests.rs
@@ -8,7 +8,7 @@
 
 use cloverpost_core::directory::fetch::Request;
 use cloverpost_core::directory::{
-    Member, PendingRequest, Piece, TableKind, Update, Versions, watchers,
+    Member, PendingRequest, Piece, TableKind, Update, Version, Versions, watchers,
 };
 use cloverpost_core::{directory, id};
 use cloverpost_wire::Message;
@@ -35,6 +35,15 @@
     /// The last peer that reported newer rows, with its versions.
     newer_peer: Option<(Member, Versions)>,
     consecutive_failures: u32,
+    /// The newest configuration that a peer told of.
+    told_configuration: Version,
+}
+
+impl PeerRequests {
+    /// The newest configuration that a peer told of.
+    pub fn told_configuration(&self) -> Version {
+        self.told_configuration
+    }
 }
 
 impl<C: Codec, S: Store> State<C, S> {
@@ -81,7 +90,7 @@
     /// member list lacks it.
     pub(super) fn request_from_watcher(&mut self, myself: &ActorRef<Command>) {
         let now = self.now();
-        let is_due = if self.has_required_tables() {
+        let is_due = if self.has_required_tables() && self.has_heard_of_peers() {
             let is_listening = !*self.follows.borrow();
             is_listening
                 && now.since(self.last_heartbeat_received) > HEARTBEAT_TIMEOUT
@@ -214,6 +223,9 @@
     }
 
     fn handle_update(&mut self, peer: &Member, took: Duration, update: Update) {
+        self.is_told = true;
+        let told = &mut self.requests.told_configuration;
+        *told = update.configuration.max(*told);
         self.configuration_fetch
             .add_holder(peer.clone(), update.configuration);
         match update.upstreams_to_fetch {
@@ -226,6 +238,7 @@
             None => {}
         }
         self.apply_update(peer, took, update);
+        self.publish_first_view();
     }
 
     /// Handles a piece of `table` from `peer`; `None` if the request failed.
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -49,6 +49,7 @@
             self.publish();
         }
         self.end_restore(now);
+        self.publish_first_view();
         let is_stale = now.since(self.last_store_contact) > STALE_AFTER;
         let may_lack_changes = is_stale || !self.failed_topics.is_empty();
         if may_lack_changes && now.since(self.last_request) > PEER_REQUEST_INTERVAL {
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -21,6 +21,8 @@
 pub(super) const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
 /// Time without store contact after which an outage is assumed; spans two missed heartbeats.
 const CONTACT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time from the start of this VM after which it serves on what the store alone has told.
+const PEER_ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of unreadable rows remembered to avoid logging them again, at about 200 bytes
 /// each.
 const LOGGED_UNREADABLE_MAX: usize = 1000;
@@ -220,7 +222,7 @@
 
     /// Publishes a view of the current tables and updates the state derived from them.
     pub(super) fn publish(&mut self) {
-        if self.has_orders() {
+        if self.has_orders() && self.has_heard_of_peers() {
             self.publish_view();
         }
         let fleet = self.image.members.fleet(&self.context.own);
@@ -249,6 +251,23 @@
         shared.peers.store(Arc::new(peers));
     }
 
+    /// Returns whether a peer has told this VM of its tables, or none may do so. A store that came
+    /// back from a copy may have a configuration that its peers know to be replaced.
+    pub(super) fn has_heard_of_peers(&self) -> bool {
+        let is_current = self.image.configuration.version >= self.requests.told_configuration();
+        let is_alone = self.has_members && self.peer_targets().is_empty();
+        let has_waited = self.now().since_start() > PEER_ANSWER_TIMEOUT;
+        self.is_told && is_current || is_alone || has_waited
+    }
+
+    /// Publishes the first view once all that it waits for is known.
+    pub(super) fn publish_first_view(&mut self) {
+        let has_view = self.context.shared.view.load().index.is_some();
+        if !has_view && self.has_required_tables() && self.has_heard_of_peers() {
+            self.publish();
+        }
+    }
+
     /// Returns whether the operators' orders have been received. Configuration and upstreams can
     /// arrive first from other peers; without the orders a starting VM could route into an
     /// evacuated availability zone.
