fix(cloverpost): the first response's era does not end the pauses of all followers

Cause: a follower's pause ends early when the store's era rises, and the first response of a store that states its era raised it from none. So all followers read on without their pauses at each start. A pause is counted from the era of the page that was read.

--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -132,7 +132,7 @@
                     // The feed went on in another history.
                     return Cursor::Loading(None);
                 }
-                self.pause().await;
+                self.pause(next.era()).await;
                 // A late response may be from before the store came back from a copy.
                 Cursor::Following(next.max(version), last_read)
             }
@@ -181,7 +181,7 @@
         }
         let version = page.version;
         self.send_page(page, true);
-        self.pause().await;
+        self.pause(version.era()).await;
         if version.era() < *self.era.borrow() {
             return Cursor::Loading(None);
         }
@@ -198,10 +198,11 @@
         });
     }
 
-    /// Waits to batch changes, but not if the store comes back from a copy meanwhile.
-    async fn pause(&self) {
+    /// Waits to batch changes after a page of the era `read`, but not if the store comes back from a
+    /// copy meanwhile.
+    async fn pause(&self, read: Era) {
         let mut era = self.era.clone();
-        let known = *era.borrow();
+        let known = read.max(*era.borrow());
         tokio::select! {
             () = sleep(timing(self.topic, self.leave).pause) => {}
             Ok(_) = era.wait_for(|era| *era > known) => {}
--- a/crates/cloverpost/src/logs/explain/mod.rs
+++ b/crates/cloverpost/src/logs/explain/mod.rs
@@ -12,12 +12,14 @@
 use std::fmt::Write;
 
 /// Messages that report the state of the configuration and of the store, by subject.
-const VM_STATE: [&[&str]; 2] = [
+const VM_STATE: [&[&str]; 3] = [
     &["configuration in force"],
+    &["the store came back from a copy"],
     &["the store does not answer", "the store answers again"],
 ];
 /// Messages that report the state of an upstream.
-const UPSTREAM_STATE: [&str; 3] = [
+const UPSTREAM_STATE: [&str; 4] = [
+    "an upstream that was removed stands in the store's copy and is not used",
     "upstream left out for a while",
     "upstream takes work",
     "upstream gets no more work",
--- a/crates/cloverpost/tests/behaviour/logs/explain.rs
+++ b/crates/cloverpost/tests/behaviour/logs/explain.rs
@@ -29,6 +29,15 @@
     assert!(course.contains("request ended: outcome=timed_out status=504"));
 }
 
+#[test]
+fn the_return_of_the_store_from_a_copy_is_told() {
+    let mut all = lines(LOG);
+    let text = r#"{"time":"T03","message":"the store came back from a copy","now":"2"}"#;
+    all.extend(Line::parse(text, "vm-1"));
+    let course = explain(&all, "a1").unwrap();
+    assert!(course.contains("believed the store came back from a copy: now=2"));
+}
+
 #[test]
 fn the_state_of_another_vm_is_omitted() {
     let mut all = lines(LOG);
