fix(cloverpost): what a starting VM keeps for its peers ends too; the list of VMs is used anew as rows are released

The time counts from when something is kept. Core: tables of a store that came back are a file of their own; no other change.

--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -6,9 +6,10 @@
 //!
 //! The store may come back from a copy some seconds old: it then lacks what it acknowledged since,
 //! and assigns the versions of those writes again, in a new [`Era`]. What the image knows of the
-//! earlier era is compared with the copy table by table: known rows that only the copy lacks are
-//! kept against the store's word until the store has them again. A [`View`] holds the indexes over one state of the image that the
-//! request path reads.
+//! earlier era is compared with the copy table by table: rows that the copy lacks are kept against
+//! the store's word until the store has them again.
+//!
+//! A [`View`] holds the indexes over one state of the image that the request path reads.
 
 mod configuration;
 pub mod encoded;
@@ -28,6 +29,7 @@
 mod pending_request;
 mod piece;
 mod processes;
+mod restore;
 mod rollout;
 mod route;
 mod service;
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -70,7 +70,8 @@
     era: watch::Sender<Era>,
     /// Whether a peer has told this VM of its tables since its start.
     is_told: bool,
-    /// When this VM learnt that the store came back from a copy.
+    /// When this VM learnt that the store came back from a copy, while it keeps what the store has
+    /// lost.
     restored: Option<time::Moment>,
     /// Upstreams that were removed and stand in a copy of the store again, with the version of their
     /// rows and the time until which they are not used.
--- a/crates/cloverpost/src/gateway/control/restore.rs
+++ b/crates/cloverpost/src/gateway/control/restore.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Era, Page, Table, Upstream};
+use cloverpost_core::directory::{Era, Page, Table, Upstream, Version};
 use cloverpost_core::time;
 
 use crate::gateway::codec::Codec;
@@ -82,11 +82,12 @@
         let withheld = self.withheld_upstreams.len();
         self.withheld_upstreams.retain(|_, (_, until)| now < *until);
         let mut changed = self.withheld_upstreams.len() != withheld;
-        if self
-            .restored
-            .is_some_and(|restored| now >= restored + REWRITE_TIME)
-        {
+        if self.image.overruled().next().is_none() {
             self.restored = None;
+        } else if now >= *self.restored.get_or_insert(now) + REWRITE_TIME {
+            self.restored = None;
+            // The list of VMs changes without a version of its own.
+            self.senders_version = Version::default();
             for (table, key) in self.image.release_overruled() {
                 log::warn!(table, key = key.as_str(); "a change that the store has lost was not written again and ends");
                 self.logged_overruled.remove(&(table, key));
