feat(cloverpost): requests wait for the first configuration as long as their timeouts allow

Cause: a VM that starts while the store is unavailable refused with 503 what it received once its process was 500 ms old. Callers have one retry, so requests with many seconds left were lost.

Change: core startup/ decides for each request whether it waits, and until when: at most half of its timeout, 15 s at most, and 1.25 s are kept to serve it. Waiting requests take an eighth of the VM's memory (setting memory-mb, 64 requests without it); beyond that those with the most time that may be repeated are refused. When the configuration arrives, all are released by remaining time within 250 ms. Refusals state a delay between 0.2 s and a third of the remaining time. A VM that stops refuses waiting requests. Malformed headers are refused before the wait.

--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -39,5 +39,6 @@
 pub mod rollout;
 pub mod session;
 pub mod spread;
+pub mod startup;
 pub mod throttle;
 pub mod time;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -29,4 +29,5 @@
 mod rollout;
 mod session;
 mod spread;
+mod startup;
 mod throttle;
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod pushback;
 mod rate_limits;
+mod startup;
 
 use std::sync::Arc;
 
@@ -25,6 +26,7 @@
 pub use peers::Peers;
 pub use pushback::Pushback;
 pub use rate_limits::RateLimits;
+pub use startup::Startup;
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -77,6 +79,8 @@
     pub connections: IntCounter,
     /// Paths to upstreams.
     pub paths: Paths,
+    /// Requests that arrive before the first configuration.
+    pub startup: Startup,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Time to first byte in seconds, by route.
@@ -181,6 +185,7 @@
                 "connections opened to upstreams",
             ),
             paths: Paths::register(&registry),
+            startup: Startup::register(&registry),
             in_flight: gauge("in_flight", "requests in flight"),
             first_byte: register_first_byte(&registry),
             store_calls: counters(
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -40,6 +40,7 @@
 pub mod settings;
 mod shared;
 mod slot;
+mod startup;
 mod stated_limit;
 mod statements;
 pub mod store;
--- a/crates/cloverpost/src/gateway/response.rs
+++ b/crates/cloverpost/src/gateway/response.rs
@@ -50,7 +50,13 @@
     if refusal.ran == Ran::No && may_return {
         let jitter = rand::random_range(RETRY_AFTER_MIN..RETRY_AFTER_MAX);
         let opens_after = refusal.opens_after.unwrap_or_default();
-        let seconds = opens_after.saturating_add(jitter).as_secs_f64();
+        let retry_after = match refusal.code {
+            // The delay is drawn at random already.
+            Code::Unconfirmed => refusal.retry_after,
+            _ => None,
+        };
+        let retry_after = retry_after.unwrap_or(opens_after.saturating_add(jitter));
+        let seconds = retry_after.as_secs_f64();
         if let Ok(value) = HeaderValue::try_from(format!("{seconds:.2}")) {
             headers.insert(header::RETRY_AFTER, value);
         }
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -1,14 +1,13 @@
 //! Admission of requests and dispatch by the kind of their route.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use cloverpost_core::pushback::Block;
 use cloverpost_core::refusal::{Code, Refusal};
-use cloverpost_core::{directory, time};
+use cloverpost_core::{directory, startup, time};
 use futures_util::Stream;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 
@@ -17,6 +16,7 @@
 use crate::gateway::job::Job;
 use crate::gateway::response::{self, FullResponse};
 use crate::gateway::shared::Phase;
+use crate::gateway::startup::wait_until_routable;
 use crate::gateway::stream::{self, StreamAborted, StreamStart};
 use crate::gateway::unary::{self, Outcome};
 use crate::gateway::{Shared, crashes, selection};
@@ -81,16 +81,19 @@
     started: time::Moment,
 ) -> Result<Job, AdmissionError> {
     let (head, body) = request.into_parts();
-    wait_until_routable(shared).await;
-    let view = shared.view.load_full();
-    let Some(index) = view.index.clone() else {
-        let refusal = Refusal::not_run(Code::Unconfirmed, "no configuration is known yet");
-        return Err((None, refusal));
-    };
     let request_head = shared
         .codec
         .decode_request(&head)
         .map_err(|malformed| (None, Refusal::not_run(Code::MalformedHeader, malformed.0)))?;
+    let waiting = startup_request(&head, &request_head);
+    if let Err(refusal) = wait_until_routable(shared, &request_head, &waiting).await {
+        return Err((Some(request_head), refusal));
+    }
+    let view = shared.view.load_full();
+    let Some(index) = view.index.clone() else {
+        let refusal = Refusal::not_run(Code::Unconfirmed, "no configuration is known yet");
+        return Err((Some(request_head), refusal));
+    };
     let refuse = |code, message: &str| Refusal::not_run(code, message);
     let host = head
         .headers
@@ -138,24 +141,16 @@
     })
 }
 
-/// Age of the process until which requests wait for the first configuration.
-///
-/// After an outage of all VMs, callers retry as soon as one listens again, and a refusal
-/// would use up their last retry. A process that has no configuration by this age cannot
-/// reach the store and refuses at once what it cannot route.
-const STARTUP_VIEW_TIMEOUT: Duration = Duration::from_millis(500);
-
-/// Waits until requests can be routed, up to [`STARTUP_VIEW_TIMEOUT`].
-async fn wait_until_routable<C: Codec>(shared: &Shared<C>) {
-    if *shared.is_routable.borrow() {
-        return;
+/// What decides whether a request waits for the first configuration.
+fn startup_request(head: &http::request::Parts, request_head: &RequestHead) -> startup::Request {
+    let length = head.headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
+    let is_chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+    startup::Request {
+        timeout: request_head.timeout,
+        is_repeatable: matches!(head.method, Method::GET | Method::HEAD),
+        body_bytes: if is_chunked { None } else { length.or(Some(0)) },
     }
-    let age = shared.clock.now().since_start();
-    let left = STARTUP_VIEW_TIMEOUT.saturating_sub(age);
-    let mut is_routable = shared.is_routable.subscribe();
-    // After the timeout, admission refuses what cannot be routed. The watch sender is part of
-    // the shared state, so it outlives this receiver.
-    let _ = tokio::time::timeout(left, is_routable.wait_for(|is| *is)).await;
 }
 
 async fn read_body(
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -7,7 +7,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cloverpost_core::{balance, cold, directory, escalation, id, throttle};
+use cloverpost_core::{balance, cold, directory, escalation, id, startup, throttle};
 
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,6 +59,8 @@
     pub max_descriptors: u32,
     /// Capacity of this VM.
     pub size: directory::Size,
+    /// Limit on the requests that wait for the first configuration; read only at startup.
+    pub startup: startup::Capacity,
     /// Whether the whole site starts for the first time.
     pub is_new_site: bool,
 }
@@ -119,7 +121,7 @@
 const BOOL_FORM: &str = "true or false";
 
 /// All setting names.
-const SETTING_NAMES: [&str; 41] = [
+const SETTING_NAMES: [&str; 42] = [
     "vm",
     "zone",
     "caller-addr",
@@ -160,6 +162,7 @@
     "max-descriptors",
     "core-share",
     "link-mbit",
+    "memory-mb",
     "new-site",
 ];
 
@@ -220,6 +223,7 @@
         let leave = self.count("leave-ms", 2_000);
         let max_descriptors = self.count("max-descriptors", 1024);
         let size = self.size();
+        let startup = self.startup();
         let is_new_site = self.bool("new-site", false);
         Some(Settings {
             vm: vm?,
@@ -245,6 +249,7 @@
             leave: Duration::from_millis(leave?.into()),
             max_descriptors: max_descriptors?,
             size: size?,
+            startup: startup?,
             is_new_site: is_new_site?,
         })
     }
@@ -269,6 +274,13 @@
         })
     }
 
+    fn startup(&mut self) -> Option<startup::Capacity> {
+        let memory = self.number("memory-mb", 0.0, 1e6, "a number of MB from 0 to 1000000");
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // bounded above
+        let megabytes = memory?.round() as u32;
+        Some(startup::Capacity::of_memory(megabytes))
+    }
+
     fn cold(&mut self) -> Option<cold::Options> {
         let default = cold::Options::default();
         let overage = self.number(
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::gateway::path::LossChecks;
 use crate::gateway::pool::Pool;
 use crate::gateway::settings::Settings;
+use crate::gateway::startup::{self, Waiters};
 use crate::peer;
 use crate::quarantine::Quarantine;
 
@@ -73,6 +74,7 @@
     loss_checks: Mutex<LossChecks>,
     speed: Mutex<balance::Speed>,
     admission: Mutex<admission::Register>,
+    startup: Mutex<Waiters>,
     returns: Mutex<throttle::Returns>,
     /// Notified when other VMs should be told of rejections.
     pub rejection_news: Notify,
@@ -106,6 +108,7 @@
         let balancer = balance::Balancer::new(settings.choice);
         let senders = quota::Senders::new(settings.vm.clone(), std::iter::empty());
         let admission = admission::Register::new(settings.cold, settings.throttle, senders);
+        let startup = Waiters::new(settings.startup);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -127,6 +130,7 @@
             loss_checks: Mutex::default(),
             speed: Mutex::default(),
             admission: Mutex::new(admission),
+            startup: Mutex::new(startup),
             returns: Mutex::default(),
             rejection_news: Notify::new(),
             sizes: Mutex::default(),
@@ -187,6 +191,11 @@
         lock(&self.admission)
     }
 
+    /// Requests that wait for the first configuration.
+    pub fn startup(&self) -> MutexGuard<'_, Waiters> {
+        lock(&self.startup)
+    }
+
     /// When rejected callers may return to services whose upstreams state limits.
     pub fn returns(&self) -> MutexGuard<'_, throttle::Returns> {
         lock(&self.returns)
@@ -353,6 +362,9 @@
         }
         let is_routable = view.index.is_some() && !view.pools.is_empty();
         self.view.store(Arc::new(view));
+        if is_routable && !*self.is_routable.borrow() {
+            startup::open(self);
+        }
         self.is_routable.send_if_modified(|was_routable| {
             let is_changed = is_routable && !*was_routable;
             *was_routable |= is_routable;
--- a/crates/cloverpost/tests/behaviour/gateway/settings.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/settings.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cloverpost::gateway::Settings;
-use cloverpost_core::{balance, escalation};
+use cloverpost_core::{balance, escalation, startup};
 
 const REQUIRED: &str = r#"
 vm = "vm-1"
@@ -97,3 +97,20 @@
     let message = wrong.parse::<Settings>().unwrap_err().to_string();
     assert_eq!(message.lines().count(), 3, "{message}");
 }
+
+#[test]
+fn memory_bounds_the_requests_that_wait_at_startup() {
+    let settings: Settings = REQUIRED.parse().unwrap();
+    assert_eq!(settings.startup, startup::Capacity::Requests(64));
+    for memory in ["88", "88.0", "87.6"] {
+        let text = format!("{REQUIRED}memory-mb = {memory}\n");
+        let settings: Settings = text.parse().unwrap();
+        assert_eq!(settings.startup, startup::Capacity::Bytes(11_000_000));
+    }
+    let wrong = format!("{REQUIRED}memory-mb = -1\n");
+    let message = wrong.parse::<Settings>().unwrap_err().to_string();
+    assert!(
+        message.contains("memory-mb: invalid value `-1`"),
+        "{message}"
+    );
+}
