fix(cloverpost): a VM that takes an order from a peer knows that it is late

Cause: an order that arrives as the store recovers is taken to be 0.3 s old, but only by a VM whose own store calls had failed. Ruled out: a larger fixed delay for all orders, which breaks the tests of the exposure allowance. Change: the recovery that a peer reports counts for the age of orders too; the decision is a function of the core.

--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the traffic share of a new version.
 
 mod comparison;
+mod order_age;
 mod outcome;
 
 use std::collections::VecDeque;
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -86,6 +86,8 @@
     is_store_unavailable: bool,
     /// When the store last recovered from an outage.
     store_recovered: Option<time::Moment>,
+    /// When the store last recovered from an outage, as reported by a peer.
+    reported_recovery: Option<time::Moment>,
     /// When the store last responded.
     last_store_response: time::Moment,
     /// When the store last responded, directly or as reported by a peer.
@@ -158,6 +160,7 @@
             failed_topics: HashMap::new(),
             is_store_unavailable: false,
             store_recovered: None,
+            reported_recovery: None,
             last_store_response: time::Moment::default(),
             last_store_contact: time::Moment::default(),
             store_contact_resumed: None,
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::Member;
+use cloverpost_core::exposure;
 use ractor::ActorRef;
 use tokio::sync::watch;
 
@@ -22,9 +23,6 @@
 /// Interval between evidence messages to the aggregators of a rollout. Its last stage lasts only a
 /// second or two.
 const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
-/// Assumed age of an order received during a store recovery, when reconnecting and full reads
-/// delay its arrival.
-const RECOVERY_DELAY: Duration = Duration::from_millis(300);
 /// Time without store contact after which peers are queried.
 const STALE_AFTER: Duration = Duration::from_secs(4);
 /// Initial backoff after a failed registration; doubles up to [`REGISTER_BACKOFF_MAX`].
@@ -92,14 +90,11 @@
         if self.writes.are_in_flight() || self.failed_topics.contains_key(&Topic::Operators) {
             return;
         }
-        let is_recovering = self.time_since_recovery().is_some();
-        let order_age = if is_recovering {
-            RECOVERY_DELAY
-        } else {
-            Duration::ZERO
-        };
+        let now = self.now();
+        let reported = self.reported_recovery.map(|recovered| now.since(recovered));
+        let order_age = exposure::order_age(self.time_since_recovery(), reported);
         let steps = rollouts::due_steps(&self.context.shared, &self.image, order_age);
-        let steps = self.writes.begin(steps, self.now());
+        let steps = self.writes.begin(steps, now);
         if steps.is_empty() {
             return;
         }
--- a/crates/cloverpost/src/gateway/control/tables.rs
+++ b/crates/cloverpost/src/gateway/control/tables.rs
@@ -173,11 +173,12 @@
             // can exceed the takeover delay, and every VM of a restarting site would read it too.
             self.record_heartbeat(peer);
         }
-        if let Some(ago) = update.returned
-            && self.may_have_missed_outage(now)
-        {
+        if let Some(ago) = update.returned {
             let recovered = time::Moment::new(now.since_start().saturating_sub(ago));
-            self.store_recovered = self.store_recovered.max(Some(recovered));
+            self.reported_recovery = self.reported_recovery.max(Some(recovered));
+            if self.may_have_missed_outage(now) {
+                self.store_recovered = self.store_recovered.max(Some(recovered));
+            }
         }
         self.observe_era(update.era(), peer.vm.as_str());
         let before = self.image.versions();
