--- a/crates/cloverpost-core/src/startup/mod.rs
+++ b/crates/cloverpost-core/src/startup/mod.rs
@@ -24,7 +24,7 @@
 pub use outcome::Outcome;
 pub use queue::Queue;
 pub use reason::Reason;
-pub use request::Request;
+pub use request::{GRACE, Request};
 pub use retry::retry_after;
 pub use summary::Summary;
 pub use ticket::Ticket;
--- a/crates/cloverpost-core/src/startup/request.rs
+++ b/crates/cloverpost-core/src/startup/request.rs
@@ -4,11 +4,11 @@
 
 use crate::time;
 
-/// Age of the process until which a request without a timeout waits.
+/// Age of the process until which a request without a timeout waits, and any request of a VM that stops.
 ///
 /// After an outage of all VMs, callers retry as soon as one listens again, and a refusal would use up
 /// their last retry. A process that has no configuration by this age cannot reach the store.
-const GRACE: time::Moment = time::Moment::from_millis(500);
+pub const GRACE: time::Moment = time::Moment::from_millis(500);
 /// Longest timeout that is taken as it is.
 const MAX_TIMEOUT: Duration = Duration::from_hours(1);
 /// Replaces timeouts above [`MAX_TIMEOUT`], and bounds the wait of all others: without a configuration
--- a/crates/cloverpost/src/gateway/startup.rs
+++ b/crates/cloverpost/src/gateway/startup.rs
@@ -48,7 +48,7 @@
     }
     let arrived = shared.clock.now();
     let outcome = match enter(shared, request, arrived) {
-        Ok(wait) => wait.run().await,
+        Ok((wait, is_displaced)) => wait.run(is_displaced).await,
         Err(reason) => {
             count(shared, Outcome::Refused(reason));
             Outcome::Refused(reason)
@@ -65,12 +65,10 @@
     }
     let time_left = request.time().map(|time| time.saturating_sub(waited));
     let retry_after = startup::retry_after(time_left, rand::random());
-    let (waiting, left_ms) = (
-        shared.metrics.startup.waiting.get(),
-        time_left.map(response::millis),
-    );
+    let waiting = shared.metrics.startup.waiting.get();
+    let left_ms = time_left.map_or_else(String::new, |left| response::millis(left).to_string());
     log::info!(
-        id = head.id.as_str(), reason = reason.as_str(), waited_ms, left_ms:?, waiting,
+        id = head.id.as_str(), reason = reason.as_str(), waited_ms, left_ms, waiting,
         retry_after_ms = response::millis(retry_after);
         "request is refused before the first configuration"
     );
@@ -87,12 +85,12 @@
     log_summary(&mut waiters);
 }
 
-/// Decides whether `request` waits.
+/// Decides whether `request` waits. The returned receiver is closed when another request displaces it.
 fn enter<'a, C: Codec>(
     shared: &'a Shared<C>,
     request: &Request,
     now: time::Moment,
-) -> Result<Wait<'a, C>, Reason> {
+) -> Result<(Wait<'a, C>, oneshot::Receiver<()>), Reason> {
     let mut waiters = shared.startup();
     let (ticket, until, displaced) = match waiters.queue.admit(request, now) {
         Admission::Wait {
@@ -115,13 +113,13 @@
             "requests wait for the first configuration"
         );
     }
-    Ok(Wait {
+    let wait = Wait {
         shared,
         ticket,
         until,
-        is_displaced,
         outcome: Outcome::Left,
-    })
+    };
+    Ok((wait, is_displaced))
 }
 
 fn set_waiting<C: Codec>(shared: &Shared<C>, waiters: &Waiters) {
@@ -152,23 +150,20 @@
     shared: &'a Shared<C>,
     ticket: Ticket,
     until: time::Moment,
-    /// Closed when another request displaces this one.
-    is_displaced: oneshot::Receiver<()>,
     outcome: Outcome,
 }
 
 impl<C: Codec> Wait<'_, C> {
-    async fn run(mut self) -> Outcome {
+    async fn run(mut self, is_displaced: oneshot::Receiver<()>) -> Outcome {
         let shared = self.shared;
         let mut is_routable = shared.is_routable.subscribe();
-        let mut phase = shared.phase.subscribe();
         let left = self.time_until(self.until);
         // The watch senders are part of the shared state, so they outlive the receivers.
         self.outcome = tokio::select! {
             biased;
             _ = is_routable.wait_for(|is| *is) => Outcome::Released,
-            _ = &mut self.is_displaced => Outcome::Refused(Reason::Full),
-            _ = phase.wait_for(|phase| *phase >= Phase::Leaving) => Outcome::Refused(Reason::Stopping),
+            _ = is_displaced => Outcome::Refused(Reason::Full),
+            () = self.stop() => Outcome::Refused(Reason::Stopping),
             () = sleep(left) => Outcome::Refused(Reason::Expired),
         };
         if self.outcome == Outcome::Released {
@@ -178,6 +173,13 @@
         self.outcome
     }
 
+    /// Waits until the VM stops and its process is no longer within the grace of its start.
+    async fn stop(&self) {
+        let mut phase = self.shared.phase.subscribe();
+        let _ = phase.wait_for(|phase| *phase >= Phase::Leaving).await;
+        sleep(self.time_until(startup::GRACE)).await;
+    }
+
     fn time_until(&self, moment: time::Moment) -> Duration {
         moment.since(self.shared.clock.now())
     }
