fix(cloverpost): count only first attempts in the comparison of failures

Cause: a session on the new version stays on it, so a request that fails on any version is sent again to the same version. Counted by attempts, one such request was 2 failed of 2 responses and reverted a rollout. The behaviour test passed for that reason, also without the comparison.

Change: further attempts and resumed streams count only in the comparison of all responses.

--- a/crates/cloverpost-core/src/exposure/outcome.rs
+++ b/crates/cloverpost-core/src/exposure/outcome.rs
@@ -22,8 +22,14 @@
     }
 
     /// Whether the response passes the comparison of failures; `None` if it is no evidence there.
+    ///
+    /// Only the first attempt of a request is. A request that fails on every version is often sent
+    /// again to the same version, so its failures are not independent.
     #[must_use]
-    pub const fn succeeded(self) -> Option<bool> {
+    pub const fn succeeded(self, is_first_attempt: bool) -> Option<bool> {
+        if !is_first_attempt {
+            return None;
+        }
         match self {
             Self::Good | Self::Slow => Some(true),
             Self::Failed => Some(false),
--- a/crates/cloverpost-core/tests/behaviour/exposure/comparison.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/comparison.rs
@@ -112,7 +112,7 @@
             *counts = counts.saturating_add(Counts::single(passed));
         };
         add(&mut self.responses[route][side], outcome.is_good());
-        if let Some(succeeded) = outcome.succeeded().filter(|_| compares_failures) {
+        if let Some(succeeded) = outcome.succeeded(true).filter(|_| compares_failures) {
             add(&mut self.failures[route][side], succeeded);
         }
     }
--- a/crates/cloverpost-core/tests/behaviour/exposure/outcome.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/outcome.rs
@@ -15,5 +15,7 @@
     #[case] succeeded: Option<bool>,
 ) {
     assert_eq!(outcome.is_good(), is_good);
-    assert_eq!(outcome.succeeded(), succeeded);
+    assert_eq!(outcome.succeeded(true), succeeded);
+    // Guards against a revert by one request that fails on every version and is sent again.
+    assert_eq!(outcome.succeeded(false), None);
 }
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -76,6 +76,11 @@
 }
 
 impl AttemptOptions<'_> {
+    /// Whether this is the first attempt of its request.
+    pub fn is_first(&self) -> bool {
+        self.attempts_before == 0 && self.last_event.is_none()
+    }
+
     /// Kind of the attempt, for metrics and the log.
     fn kind(&self) -> &'static str {
         match (self.last_event, self.attempts_before) {
@@ -398,7 +403,7 @@
     if matches!(result, Err(Failure::TimedOut)) {
         rollout_evidence::record_timeout(shared, job, upstream, sent);
     }
-    rollout_evidence::record_head(shared, job, upstream, options.model, sent, took, head);
+    rollout_evidence::record_head(shared, job, upstream, options, sent, took, head);
     shared
         .metrics
         .attempts
--- a/crates/cloverpost/src/gateway/evidence.rs
+++ b/crates/cloverpost/src/gateway/evidence.rs
@@ -55,10 +55,10 @@
         baseline.is_slow(took, is_old)
     }
 
-    /// Counts a response.
-    pub fn count(&mut self, key: &exposure::Key, outcome: Outcome) {
+    /// Counts a response to the first or a further attempt of a request.
+    pub fn count(&mut self, key: &exposure::Key, outcome: Outcome, is_first_attempt: bool) {
         self.ledger.record(&self.own, key, outcome.is_good());
-        if let Some(succeeded) = outcome.succeeded() {
+        if let Some(succeeded) = outcome.succeeded(is_first_attempt) {
             self.failures.record(&self.own, key, succeeded);
         }
     }
--- a/crates/cloverpost/src/gateway/rollout_evidence.rs
+++ b/crates/cloverpost/src/gateway/rollout_evidence.rs
@@ -7,6 +7,7 @@
 use cloverpost_core::{directory, exposure, id, time};
 
 use crate::gateway::Shared;
+use crate::gateway::attempt::AttemptOptions;
 use crate::gateway::codec::Codec;
 use crate::gateway::evidence::TimingKey;
 use crate::gateway::job::Job;
@@ -34,12 +35,13 @@
     shared: &Shared<C>,
     job: &Job,
     upstream: &directory::Upstream,
-    model: Option<&id::Model>,
+    options: AttemptOptions<'_>,
     sent: time::Moment,
     took: Duration,
     head: HeadOutcome,
 ) {
     let span = exposure::Span::Head;
+    let model = options.model;
     let outcome = match head {
         HeadOutcome::Received if is_slow(shared, job, upstream, model, span, took) => Outcome::Slow,
         HeadOutcome::Received => Outcome::Good,
@@ -49,7 +51,7 @@
     };
     let depends_on_path = matches!(outcome, Outcome::Slow | Outcome::Unanswered);
     if !depends_on_path || !shared.paths().was_broken(&upstream.id, sent) {
-        count(shared, job, upstream, span, outcome);
+        count(shared, job, upstream, span, outcome, options.is_first());
     }
 }
 
@@ -67,7 +69,7 @@
     tokio::spawn(async move {
         let is_sound = path::is_sound(&shared, &upstream).await;
         if is_sound && !shared.paths().was_broken(&upstream.id, sent) {
-            shared.evidence().count(&key, Outcome::Unanswered);
+            shared.evidence().count(&key, Outcome::Unanswered, true);
         }
     });
 }
@@ -80,6 +82,7 @@
     model: Option<&id::Model>,
     began: time::Moment,
     pace: Duration,
+    is_first_attempt: bool,
 ) {
     let span = exposure::Span::Events;
     let is_slow = is_slow(shared, job, upstream, model, span, pace);
@@ -89,7 +92,7 @@
         } else {
             Outcome::Good
         };
-        count(shared, job, upstream, span, outcome);
+        count(shared, job, upstream, span, outcome, is_first_attempt);
     }
 }
 
@@ -103,6 +106,7 @@
     upstream: &directory::Upstream,
     began: time::Moment,
     is_crash: bool,
+    is_first_attempt: bool,
 ) {
     let outcome = if is_crash {
         Outcome::Unanswered
@@ -110,7 +114,8 @@
         Outcome::Failed
     };
     if !shared.paths().was_broken(&upstream.id, began) {
-        count(shared, job, upstream, exposure::Span::Events, outcome);
+        let span = exposure::Span::Events;
+        count(shared, job, upstream, span, outcome, is_first_attempt);
     }
 }
 
@@ -143,8 +148,9 @@
     upstream: &directory::Upstream,
     span: exposure::Span,
     outcome: Outcome,
+    is_first_attempt: bool,
 ) {
     if let Some(key) = selection::evidence_key(shared, job, upstream, span) {
-        shared.evidence().count(&key, outcome);
+        shared.evidence().count(&key, outcome, is_first_attempt);
     }
 }
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -200,10 +200,16 @@
         }
         let (upstream, began) = (&slot.upstream, running.head_received);
         let is_crash = loss == Loss::Upstream;
-        rollout_evidence::record_cut(&self.shared, &self.job, upstream, began, is_crash);
+        let is_first = self.is_first_attempt();
+        rollout_evidence::record_cut(&self.shared, &self.job, upstream, began, is_crash, is_first);
         failure
     }
 
+    /// Whether the current run is the first attempt of the request.
+    const fn is_first_attempt(&self) -> bool {
+        self.tried.len() <= 1
+    }
+
     /// Checks whether the current run, whose body has ended, is complete.
     async fn check_end(&mut self) -> Result<(), Failure> {
         let Some(running) = self.running.as_mut().filter(|run| run.is_unframed) else {
@@ -273,6 +279,7 @@
     /// Records the pace of the run as rollout evidence, once, after `min_events` events. A slow
     /// stream may outlast the rollout, so this does not wait for its end.
     fn record_pace(&mut self, min_events: u32) {
+        let is_first = self.is_first_attempt();
         let Some(running) = self.running.as_mut().filter(|run| !run.is_pace_recorded) else {
             return;
         };
@@ -285,7 +292,15 @@
         let pace = self.shared.clock.now().since(began) / events;
         let upstream = &running.slot.upstream;
         let model = self.model.as_ref();
-        rollout_evidence::record_pace(&self.shared, &self.job, upstream, model, began, pace);
+        rollout_evidence::record_pace(
+            &self.shared,
+            &self.job,
+            upstream,
+            model,
+            began,
+            pace,
+            is_first,
+        );
     }
 
     fn finish(&mut self) {
