--- a/crates/cloverpost-core/tests/behaviour/exposure/comparison.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/comparison.rs
@@ -317,3 +317,20 @@
     });
     assert!(summary.halts.len() >= 95, "{summary:?}");
 }
+
+#[rstest]
+#[case::three_times_half(3.0, 0.5)]
+#[case::three_times_a_fifth(3.0, 0.2)]
+#[case::eight_times_a_tenth(8.0, 0.1)]
+fn slower_versions_are_halted_while_the_service_is_quiet(
+    #[case] ratio: f64,
+    #[case] fraction: f64,
+) {
+    // Guards against a share of the error rate for failures that leaves too little for slow
+    // responses.
+    let summary = Summary::of(Versions {
+        slow: (ratio, fraction),
+        ..Versions::good(Load::Quiet)
+    });
+    assert!(summary.halts.len() >= 95, "{summary:?}");
+}
