feat(cloverpost-core): bound the connections of all VMs to one upstream

Cause: the maximum of connections that a service states was used nowhere, so VMs together opened more than an upstream accepts, mostly idle ones.

Change: the module connections divides nine tenths of the maximum among the VMs, half of it evenly and half by demand, counts the connections of this VM, lowers the limit after a reset and orders the requests that wait.

--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod choice;
 pub mod claim;
 pub mod cold;
+pub mod connections;
 mod count;
 pub mod directory;
 pub mod dispatch;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod claim;
 mod cold;
+mod connections;
 mod directory;
 mod dispatch;
 mod escalation;
