feat(cloverpost): bound, share and queue the connections to an upstream

Cause: a VM opened a connection for each request without an idle one, and kept 2 s what it could not use for a non-idempotent request after 300 ms. Upstreams reset what exceeded their maximum.

Change: a permit counts each connection until its socket is closed, also for checks of losses and paths. Without a permit a request waits by priority, then arrival, and gets the next connection that is returned or closed. Idle connections that no booking may use make room while capacity is scarce. A reset halves the limit for a while, and then idempotent requests are checked before they are sent too. An upstream without a connection for this VM is chosen last. Log lines and metrics: resets, waits, open connections.

A request that is dropped while it waits for a connection no longer counts as an attempt that was given up: the upstream never had it.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::gateway::Shared;
+use crate::gateway::acquire;
 use crate::gateway::codec::{Attempt, Classification, Codec};
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
@@ -116,11 +117,7 @@
     slot: UpstreamSlot<C>,
     options: AttemptOptions<'_>,
 ) -> Result<UpstreamResponse<C>, Failure> {
-    let non_idempotent = !job.route.kind.is_idempotent();
-    let mut connection = match shared.pool.take_idle(&slot.upstream.id, non_idempotent) {
-        Some(connection) => connection,
-        None => connect(shared, job, &slot).await?,
-    };
+    let mut connection = acquire::connection(shared, job, &slot).await?;
     let sent = shared.clock.now();
     if sent >= job.deadline {
         slot.end();
@@ -132,6 +129,7 @@
         return Err(Failure::NotSent);
     }
     let request = build_request(shared, job, &slot.upstream, options);
+    slot.begin();
     let response = connection.sender.try_send_request(request);
     let response = tokio::select! {
         response = response => response,
@@ -142,11 +140,19 @@
         // The connection closed before any byte of the request was written.
         Err(error) if error.message().is_some() => {
             slot.end();
+            if !connection.is_used {
+                acquire::record_reset(shared, job, &slot.upstream.id, &connection, "before");
+            }
             return Err(Failure::NotSent);
         }
-        Err(_) => {
-            let lost = Failure::ConnectionLost;
-            return Err(record_lost(shared, job, &slot, &connection, lost).await);
+        Err(error) => {
+            let is_reset = !connection.is_used && acquire::is_reset(error.error());
+            let failure = Failure::ConnectionLost;
+            let (failure, loss) = find_lost(shared, job, &slot, &connection, failure).await;
+            if is_reset && loss == Loss::Connection {
+                acquire::record_reset(shared, job, &slot.upstream.id, &connection, "after");
+            }
+            return Err(failure);
         }
     };
     let (head, body) = response.into_parts();
@@ -199,6 +205,17 @@
     connection: &Connection,
     failure: Failure,
 ) -> Failure {
+    find_lost(shared, job, slot, connection, failure).await.0
+}
+
+/// Like [`record_lost`], and returns what was lost.
+async fn find_lost<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    slot: &UpstreamSlot<C>,
+    connection: &Connection,
+    failure: Failure,
+) -> (Failure, Loss) {
     slot.end();
     let loss = crashes::record_lost(shared, job, &slot.upstream).await;
     let in_flight = shared.balancer().in_flight(&slot.upstream.id);
@@ -207,13 +224,14 @@
         via = connection.via().map_or("", id::Vm::as_str), loss:?, ran:% = failure.ran(), in_flight;
         "connection to the upstream lost"
     );
-    match loss {
+    let failure = match loss {
         Loss::Connection | Loss::Upstream => {
             slot.record(Event::Broke);
             failure
         }
         Loss::Path => Failure::PathLost,
-    }
+    };
+    (failure, loss)
 }
 
 /// What ended the connection of an unframed response: an upstream that crashes closes its connections
@@ -238,47 +256,6 @@
     }
 }
 
-/// Opens a connection to the slot's upstream. One that is used for a non-idempotent request has to stay
-/// open for a moment first: after a reset it would be unknown whether the request ran.
-async fn connect<C: Codec>(
-    shared: &Arc<Shared<C>>,
-    job: &Job,
-    slot: &UpstreamSlot<C>,
-) -> Result<Connection, Failure> {
-    let mut connection = open(shared, slot).await?;
-    if job.route.kind.is_idempotent() || connection.settle().await {
-        return Ok(connection);
-    }
-    slot.end();
-    let resets = &shared.metrics.connections.resets;
-    let labels = [job.service.as_str(), "before"];
-    resets.with_label_values(&labels).inc();
-    log::info!(
-        id = job.head.id.as_str(), upstream = slot.upstream.id.as_str();
-        "the upstream closed a new connection before the request was sent"
-    );
-    Err(Failure::NotSent)
-}
-
-async fn open<C: Codec>(
-    shared: &Arc<Shared<C>>,
-    slot: &UpstreamSlot<C>,
-) -> Result<Connection, Failure> {
-    shared.metrics.connections.opened.inc();
-    let opened = path::connect(shared, &slot.upstream).await;
-    opened.map_err(|error| {
-        log::info!(
-            upstream = slot.upstream.id.as_str(), address:% = slot.upstream.address, why:? = error;
-            "no connection to the upstream"
-        );
-        match error {
-            path::Error::Down(_) => slot.record(Event::Refused),
-            path::Error::NoPath(_) => slot.record(Event::Broke),
-        }
-        Failure::NotSent
-    })
-}
-
 /// Completes when the attempt should be abandoned: at the job's deadline, or when the response
 /// head is overdue and the job may be sent again. Otherwise keeps waiting, since the response may
 /// still arrive.
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -11,7 +11,7 @@
 use crate::gateway::command::Command;
 use crate::gateway::control::State;
 use crate::gateway::store::{Error, Store, Topic};
-use crate::gateway::{Shared, pushback, rollouts};
+use crate::gateway::{Shared, connections, pushback, rollouts};
 
 /// Interval between requests to random peers while the store is unavailable.
 const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
@@ -63,6 +63,7 @@
         self.share_loads();
         self.share_rate_limits(now);
         pushback::record_ends(&self.context.shared);
+        connections::tick(&self.context.shared);
         self.update_followed_topics();
         if now.since(self.last_heartbeat_sent) > HEARTBEAT_INTERVAL {
             self.send_heartbeats();
@@ -71,6 +72,7 @@
             self.last_eviction = now;
             let view = self.context.shared.view.load();
             self.context.shared.pool.evict_expired(&view);
+            self.context.shared.pool.connections().retain(&view);
             self.context.shared.balancer().retain(&view);
             self.context.shared.paths().retain(&view);
             self.context.shared.quarantine.prune(now);
--- a/crates/cloverpost/src/gateway/metrics/connections.rs
+++ b/crates/cloverpost/src/gateway/metrics/connections.rs
@@ -1,6 +1,6 @@
 //! Metrics of connections to upstreams.
 
-use prometheus::{IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 /// Metrics of connections to upstreams.
 #[derive(Clone, Debug)]
@@ -9,6 +9,10 @@
     pub opened: IntCounter,
     /// New connections that the upstream closed, by service and by whether a request was written.
     pub resets: IntCounterVec,
+    /// Waits for a connection, by service and result.
+    pub waits: IntCounterVec,
+    /// Connections that are open or being opened.
+    pub open: IntGauge,
 }
 
 impl Connections {
@@ -23,7 +27,18 @@
             "new connections that the upstream closed, before or after a request was written",
         );
         let resets = IntCounterVec::new(resets, &["service", "when"]);
+        let waits = Opts::new(
+            "upstream_connection_waits_total",
+            "waits for a connection to an upstream that had none left for this VM, by result",
+        );
+        let waits = IntCounterVec::new(waits, &["service", "result"]);
+        let open = IntGauge::new(
+            "upstream_connections_open",
+            "connections to upstreams that are open or being opened",
+        );
         Self {
+            waits: crate::metrics::register(registry, waits),
+            open: crate::metrics::register(registry, open),
             opened: crate::metrics::register(registry, opened),
             resets: crate::metrics::register(registry, resets),
         }
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -9,10 +9,12 @@
 //! - control: [`control`] follows the store, queries peers while the store is unavailable, and
 //!   drives rollouts; it publishes the `directory::View` that traffic reads.
 
+mod acquire;
 mod attempt;
 pub mod breaker;
 pub mod codec;
 pub mod command;
+pub mod connections;
 pub mod control;
 mod crashes;
 pub mod dial;
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -15,6 +15,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
+use crate::gateway::connections::Permit;
 use crate::gateway::dial;
 use crate::gateway::faults;
 use crate::gateway::pool::Connection;
@@ -36,6 +37,8 @@
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(25);
 /// Delay before the check of an upstream that closed a connection.
 const LOSS_CHECK_DELAY: Duration = Duration::from_millis(10);
+/// Number of times that a check asks for a connection while all others are in use.
+const PERMIT_TRIES: usize = 3;
 /// Time after which a check says nothing about a connection that is lost then.
 const LOSS_CHECK_EXPIRY: Duration = Duration::from_millis(250);
 /// Numbers of other upstreams that a VM connects to at once, to find out whether it reaches any. The
@@ -99,28 +102,29 @@
     NoPeers,
 }
 
-/// Opens a connection to `upstream`.
+/// Opens a connection to `upstream`, which `permit` counts. While two ways are tried, it counts both.
 pub async fn connect<C: Codec>(
     shared: &Arc<Shared<C>>,
     upstream: &directory::Upstream,
+    permit: Permit,
 ) -> Result<Connection, Error> {
     if shared.paths().is_broken(&upstream.id) {
-        return match connect_via_peer(shared, upstream).await {
+        return match connect_via_peer(shared, upstream, permit.clone()).await {
             Ok(connection) => Ok(connection),
             Err(TunnelError::Down) => Err(Error::Down(dial::Error::Failed)),
-            Err(_) => connect_direct(shared, upstream)
+            Err(_) => connect_direct(shared, upstream, permit)
                 .await
                 .map_err(Error::NoPath),
         };
     }
-    let direct = connect_direct(shared, upstream);
+    let direct = connect_direct(shared, upstream, permit.clone());
     tokio::pin!(direct);
     let error = match tokio::time::timeout(SECOND_WAY_DELAY, &mut direct).await {
         Ok(Ok(connection)) => return Ok(connection),
         Ok(Err(error)) => error,
-        Err(_elapsed) => return connect_both_ways(shared, upstream, direct).await,
+        Err(_elapsed) => return connect_both_ways(shared, upstream, permit, direct).await,
     };
-    let tunnelled = connect_via_peer(shared, upstream).await;
+    let tunnelled = connect_via_peer(shared, upstream, permit).await;
     after_direct_failure(shared, upstream, error, tunnelled)
 }
 
@@ -128,9 +132,10 @@
 async fn connect_both_ways<C: Codec>(
     shared: &Arc<Shared<C>>,
     upstream: &directory::Upstream,
+    permit: Permit,
     direct: impl Future<Output = Result<Connection, dial::Error>>,
 ) -> Result<Connection, Error> {
-    let tunnelled = connect_via_peer(shared, upstream);
+    let tunnelled = connect_via_peer(shared, upstream, permit);
     tokio::pin!(direct, tunnelled);
     tokio::select! {
         opened = &mut direct => match opened {
@@ -182,8 +187,9 @@
 async fn connect_direct<C: Codec>(
     shared: &Shared<C>,
     upstream: &directory::Upstream,
+    permit: Permit,
 ) -> Result<Connection, dial::Error> {
-    let opened = shared.pool.connect(upstream).await;
+    let opened = shared.pool.connect(upstream, permit).await;
     let result = opened
         .as_ref()
         .map_or_else(|error| error.as_str(), |_| "connected");
@@ -213,11 +219,13 @@
 async fn connect_via_peer<C: Codec>(
     shared: &Shared<C>,
     upstream: &directory::Upstream,
+    permit: Permit,
 ) -> Result<Connection, TunnelError> {
     let search = search_tunnel(shared, upstream);
     let search = tokio::time::timeout(TUNNEL_SEARCH_TIMEOUT, search);
     let (tunnel, via) = search.await.unwrap_or(Err(TunnelError::Unknown))?;
-    let connection = shared.pool.adopt(upstream, tunnel, Some(via)).await;
+    let connection = shared.pool.adopt(upstream, tunnel, Some(via), permit);
+    let connection = connection.await;
     connection.map_err(|_| TunnelError::Unknown)
 }
 
@@ -308,10 +316,30 @@
     *check.get_or_init(|| find).await
 }
 
+/// Leave to open a connection for the check of a loss, which leaves one for a request. `None` if other
+/// connections take up the rest.
+async fn permit_for_check<C: Codec>(
+    shared: &Shared<C>,
+    upstream: &directory::Upstream,
+) -> Option<Permit> {
+    let connections = shared.pool.connections();
+    for _ in 0..PERMIT_TRIES {
+        if let Some(permit) = connections.request_for_check(&upstream.id) {
+            return Some(permit);
+        }
+        tokio::time::sleep(LOSS_CHECK_DELAY).await;
+    }
+    None
+}
+
 async fn check_loss<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> Loss {
     let is_broken = shared.paths().is_broken(&upstream.id);
     if !is_broken {
-        match connect_direct(shared, upstream).await {
+        let Some(permit) = permit_for_check(shared, upstream).await else {
+            // A process that ends closes all of its connections, and others have stayed open.
+            return Loss::Connection;
+        };
+        match connect_direct(shared, upstream, permit).await {
             Ok(connection) => {
                 shared.pool.put_back(connection);
                 return Loss::Connection;
@@ -368,8 +396,8 @@
 /// after the first refusal would otherwise look like the crash of this upstream.
 async fn is_refused_alone<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> bool {
     let refused = Err(dial::Error::Refused);
-    reaches_others(shared, upstream).await
-        && connect_direct(shared, upstream).await.map(drop) == refused
+    let connect = async || connect_direct(shared, upstream, count(shared, upstream)).await;
+    reaches_others(shared, upstream).await && connect().await.map(drop) == refused
 }
 
 /// Whether this VM reaches `upstream` on its own path. What it sees otherwise is no evidence about
@@ -378,7 +406,7 @@
     if shared.paths().is_broken(&upstream.id) {
         return false;
     }
-    match connect(shared, upstream).await {
+    match connect(shared, upstream, count(shared, upstream)).await {
         Ok(connection) => !connection.is_tunnelled(),
         Err(Error::Down(_)) => true,
         Err(Error::NoPath(_)) => false,
@@ -387,7 +415,7 @@
 
 /// Whether this VM has a direct path to `upstream` now.
 pub async fn is_direct<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> bool {
-    match connect(shared, upstream).await {
+    match connect(shared, upstream, count(shared, upstream)).await {
         Ok(connection) if !connection.is_tunnelled() => {
             shared.pool.put_back(connection);
             true
@@ -415,9 +443,16 @@
     shared: &Shared<C>,
     upstream: Arc<directory::Upstream>,
 ) -> Result<faults::Stream, dial::Error> {
+    let _permit = count(shared, &upstream);
     shared.pool.dial(&upstream).await
 }
 
+/// Counts a connection that checks a path. Such checks are rare and must not wait for the requests that
+/// they are made for, so they are not limited.
+fn count<C: Codec>(shared: &Shared<C>, upstream: &directory::Upstream) -> Permit {
+    shared.pool.connections().count(&upstream.id)
+}
+
 /// All upstreams but `upstream`, those first that this VM is most likely to reach.
 fn ranked_others<C: Codec>(
     shared: &Shared<C>,
@@ -445,7 +480,8 @@
     loop {
         ticks.tick().await;
         while let Some(upstream) = next_probe(&shared) {
-            if connect_direct(&shared, &upstream).await.is_err() {
+            let permit = count(&shared, &upstream);
+            if connect_direct(&shared, &upstream, permit).await.is_err() {
                 break;
             }
         }
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -17,7 +17,11 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::task::JoinHandle;
 
+use cloverpost_core::connections::Decision;
+use prometheus::IntGauge;
+
 use crate::clock::Clock;
+use crate::gateway::connections::{self, Connections, Permit, Waiting};
 use crate::gateway::dial::{self, Dialer};
 use crate::gateway::faults::{self, Faults};
 use crate::gateway::path::Via;
@@ -44,6 +48,8 @@
 pub struct Pool {
     clock: Clock,
     dialer: Dialer,
+    connections: Connections,
+    /// Locked before the state of `connections` where both are needed.
     idle: Mutex<HashMap<id::Upstream, Vec<IdleConnection>>>,
 }
 
@@ -69,9 +75,22 @@
     /// Keep-alive timeout that the upstream stated.
     keep_alive: Option<Duration>,
     opened: time::Moment,
+    /// When leave to open the connection was given.
+    permitted: time::Moment,
     driver: JoinHandle<()>,
 }
 
+/// What a request gets from the pool.
+#[derive(Debug)]
+pub enum Acquired {
+    /// An idle connection.
+    Connection(Connection),
+    /// Leave to open a connection.
+    Permit(Permit),
+    /// A place in the queue for a connection.
+    Waiting(Waiting),
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -91,8 +110,15 @@
         self.via.is_some()
     }
 
+    /// When leave to open the connection was given.
+    #[must_use]
+    pub const fn permitted(&self) -> time::Moment {
+        self.permitted
+    }
+
     /// Whether the connection takes no further request.
-    fn is_over(&self) -> bool {
+    #[must_use]
+    pub fn is_over(&self) -> bool {
         let via = self.via.as_ref();
         self.sender.is_closed() || via.is_some_and(|via| via.liveness.is_over())
     }
@@ -122,12 +148,13 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
+    /// Creates an empty pool. `open` is the gauge of open connections.
     #[must_use]
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(clock: Clock, open: IntGauge) -> Self {
         Self {
             clock,
             dialer: Dialer::default(),
+            connections: Connections::new(clock, open),
             idle: Mutex::default(),
         }
     }
@@ -138,25 +165,47 @@
         self.dialer.faults()
     }
 
-    /// Removes and returns the newest reusable idle connection to `upstream`.
-    /// `non_idempotent` applies the shorter idle limit.
+    /// Limits on the connections.
     #[must_use]
-    pub fn take_idle(&self, upstream: &id::Upstream, non_idempotent: bool) -> Option<Connection> {
+    pub const fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    /// Takes the newest reusable idle connection to `upstream`, else leave to open one, else a place in
+    /// the queue by `priority`. `non_idempotent` applies the shorter idle limit.
+    #[must_use]
+    pub fn acquire(&self, upstream: &id::Upstream, non_idempotent: bool, priority: u8) -> Acquired {
         let now = self.clock.now();
         let mut idle = self.idle();
-        let connections = idle.get_mut(upstream)?;
-        connections.retain(|entry| !entry.is_expired(now));
-        let index = connections.iter().rposition(|entry| {
-            entry.connection.sender.is_ready()
-                && now.since(entry.since) < entry.max_idle(non_idempotent)
-        })?;
-        Some(connections.remove(index).connection)
+        let mut entries = idle.get_mut(upstream);
+        if let Some(entries) = &mut entries
+            && let Some(connection) = take_idle(entries, non_idempotent, now)
+        {
+            return Acquired::Connection(connection);
+        }
+        let unusable = entries.as_ref().map_or(0, |entries| entries.len());
+        match self.connections.request(upstream, unusable, priority) {
+            connections::Request::Permit(permit) => Acquired::Permit(permit),
+            connections::Request::Waiting(waiting, decision) => {
+                if decision == Decision::CloseIdle
+                    && let Some(entries) = entries
+                {
+                    // Its place is granted once its socket is closed.
+                    entries.remove(0);
+                }
+                Acquired::Waiting(waiting)
+            }
+        }
     }
 
-    /// Opens a connection to `upstream`.
-    pub async fn connect(&self, upstream: &directory::Upstream) -> Result<Connection, dial::Error> {
+    /// Opens a connection to `upstream`, which `permit` counts.
+    pub async fn connect(
+        &self,
+        upstream: &directory::Upstream,
+        permit: Permit,
+    ) -> Result<Connection, dial::Error> {
         let stream = self.dial(upstream).await?;
-        self.adopt(upstream, stream, None).await
+        self.adopt(upstream, stream, None, permit).await
     }
 
     /// Opens a direct TCP connection to `upstream`.
@@ -167,21 +216,25 @@
         self.dialer.dial(upstream.address).await
     }
 
-    /// Makes a connection of `stream`, which leads to `upstream`, through `via` if set.
+    /// Makes a connection of `stream`, which leads to `upstream`, through `via` if set. `permit` is held
+    /// until the stream is closed.
     pub async fn adopt<S>(
         &self,
         upstream: &directory::Upstream,
         stream: S,
         via: Option<Via>,
+        permit: Permit,
     ) -> Result<Connection, dial::Error>
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| dial::Error::Failed)?;
+        let permitted = permit.since;
         let driver = tokio::spawn(async move {
             // A connection error also reaches the request on the connection.
             let _ = driver.await;
+            drop(permit);
         });
         Ok(Connection {
             sender,
@@ -190,23 +243,57 @@
             via,
             keep_alive: None,
             opened: self.clock.now(),
+            permitted,
             driver,
         })
     }
 
-    /// Returns a connection to the pool after its response was read to the end.
+    /// Returns a connection to the pool after its response was read to the end. The request that waits
+    /// for one with the highest priority gets it.
     pub fn put_back(&self, mut connection: Connection) {
         if connection.is_over() {
             return;
         }
         connection.is_used = true;
         let since = self.clock.now();
+        let upstream = connection.upstream.clone();
         let mut idle = self.idle();
-        let connections = idle.entry(connection.upstream.clone()).or_default();
-        if connections.len() >= MAX_IDLE_PER_UPSTREAM {
-            connections.remove(0);
+        let Some(connection) = self.connections.offer(&upstream, connection) else {
+            return;
+        };
+        let is_scarce = self.connections.is_scarce(&upstream);
+        let entries = idle.entry(upstream).or_default();
+        if is_scarce {
+            entries.retain(|entry| !entry.is_expired_if_scarce(since));
         }
-        connections.push(IdleConnection { connection, since });
+        if entries.len() >= MAX_IDLE_PER_UPSTREAM {
+            entries.remove(0);
+        }
+        entries.push(IdleConnection { connection, since });
+    }
+
+    /// Closes the idle connections that may no longer serve a non-idempotent request, where they occupy
+    /// capacity that is scarce.
+    pub fn close_scarce(&self) {
+        let now = self.clock.now();
+        let mut idle = self.idle();
+        for (upstream, entries) in &mut *idle {
+            if self.connections.is_scarce(upstream) {
+                entries.retain(|entry| !entry.is_expired_if_scarce(now));
+            }
+        }
+    }
+
+    /// Whether a request to `upstream` gets an idle connection or leave to open one.
+    #[must_use]
+    pub fn has_connection(&self, upstream: &id::Upstream) -> bool {
+        self.connections.has_capacity(upstream) || self.count_idle(upstream) > 0
+    }
+
+    /// Number of idle connections to `upstream`.
+    #[must_use]
+    pub fn count_idle(&self, upstream: &id::Upstream) -> usize {
+        self.idle().get(upstream).map_or(0, Vec::len)
     }
 
     /// Closes the idle connections to `upstream`, which restarted under the same id.
@@ -242,7 +329,26 @@
     }
 }
 
+/// Removes and returns the newest reusable one of `entries`.
+fn take_idle(
+    entries: &mut Vec<IdleConnection>,
+    non_idempotent: bool,
+    now: time::Moment,
+) -> Option<Connection> {
+    entries.retain(|entry| !entry.is_expired(now));
+    let index = entries.iter().rposition(|entry| {
+        entry.connection.sender.is_ready()
+            && now.since(entry.since) < entry.max_idle(non_idempotent)
+    })?;
+    Some(entries.remove(index).connection)
+}
+
 impl IdleConnection {
+    /// Whether the connection is closed or may no longer serve a non-idempotent request.
+    fn is_expired_if_scarce(&self, now: time::Moment) -> bool {
+        self.is_expired(now) || now.since(self.since) >= self.max_idle(true)
+    }
+
     /// Whether the connection is closed or past its idle limit.
     fn is_expired(&self, now: time::Moment) -> bool {
         let connection = &self.connection;
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -66,7 +66,15 @@
         if !untried.any(|one| gate.has_place(one)) {
             gate = gate.with_excess(&job.service, pool);
         }
-        gate.choose(&candidates, &criteria).cloned()
+        // One without a connection for this VM is chosen only if no other is usable.
+        let is_ready = |one: &Upstream| {
+            balancer.is_available(&one.id, now) && shared.pool.has_connection(&one.id)
+        };
+        let ready = candidates.iter().copied().filter(|one| is_ready(one));
+        let ready: Vec<_> = ready.filter(|one| gate.admits(one)).collect();
+        let chosen = gate.choose(&ready, &criteria);
+        let chosen = chosen.or_else(|| gate.choose(&candidates, &criteria));
+        chosen.cloned()
     }?;
     admission.record_send(&chosen, now);
     drop(admission);
@@ -114,6 +122,22 @@
     usable.any(|upstream| gate.admits_as_last_resort(upstream))
 }
 
+/// Whether another upstream than `upstream` takes `job` now and has a connection for it.
+pub fn has_other_upstream<C: Codec>(shared: &Shared<C>, job: &Job, upstream: &Upstream) -> bool {
+    let view = shared.view.load();
+    let Some(pool) = view.pools.get(&job.service) else {
+        return false;
+    };
+    let now = shared.clock.now();
+    let admission = shared.admission();
+    let filter = version_filter(shared, job, pool, &admission);
+    let balancer = shared.balancer();
+    let gate = admission.gate(&job.service, &balancer, now);
+    let others = pool.upstreams.iter().filter(|one| one.id != upstream.id);
+    let mut usable = others.filter(|one| filter.matches(one) && gate.admits(one));
+    usable.any(|one| balancer.is_available(&one.id, now) && shared.pool.has_connection(&one.id))
+}
+
 /// Whether `job` can be sent again: the retry budget allows it, and an upstream takes it.
 pub fn may_send_again<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
     shared.has_retry(&job.service) && has_upstream(shared, job)
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -106,16 +106,17 @@
         let balancer = balance::Balancer::new(settings.choice);
         let senders = quota::Senders::new(settings.vm.clone(), std::iter::empty());
         let admission = admission::Register::new(settings.cold, settings.throttle, senders);
+        let metrics = Metrics::new();
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
             clock,
             view: ArcSwap::default(),
             is_routable: watch::Sender::new(false),
-            pool: Pool::new(clock),
+            pool: Pool::new(clock, metrics.connections.open.clone()),
             links: OnceLock::new(),
             peers: ArcSwap::default(),
-            metrics: Metrics::new(),
+            metrics,
             phase: watch::Sender::new(Phase::Serving),
             quarantine: Quarantine::with_options(crashes::OPTIONS),
             successes: Mutex::new(crashes::no_successes()),
@@ -331,6 +332,7 @@
         self.balancer().restart(upstream);
         self.admission().restart(upstream, self.clock.now());
         self.pool.close_idle(upstream);
+        self.pool.connections().restart(upstream);
     }
 
     /// Publishes a routing view. Resets the state of upstreams that restarted and marks the VM as
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -30,7 +30,7 @@
     is_work_released: AtomicBool,
     /// The request that occupies the slot.
     profile: Profile,
-    /// Whether the upstream's part in the request is over.
+    /// Whether the upstream's part in the request is over, or has not begun.
     has_ended: AtomicBool,
 }
 
@@ -57,7 +57,7 @@
             work,
             is_work_released: AtomicBool::new(false),
             profile,
-            has_ended: AtomicBool::new(false),
+            has_ended: AtomicBool::new(true),
         }
     }
 
@@ -69,6 +69,12 @@
         }
     }
 
+    /// Records that the request is sent. One that is dropped before, as it waits for a connection, is no
+    /// attempt that was given up.
+    pub fn begin(&self) {
+        self.has_ended.store(false, Ordering::Relaxed);
+    }
+
     /// Records that the upstream answered in full, rejected the request or closed the connection. An
     /// attempt that is dropped before is given up.
     pub fn end(&self) {
