--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::gateway::Shared;
+use crate::gateway::acquire;
 use crate::gateway::codec::{Attempt, Classification, Codec};
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
@@ -121,11 +122,7 @@
     slot: UpstreamSlot<C>,
     options: AttemptOptions<'_>,
 ) -> Result<UpstreamResponse<C>, Failure> {
-    let non_idempotent = !job.route.kind.is_idempotent();
-    let mut connection = match shared.pool.take_idle(&slot.upstream.id, non_idempotent) {
-        Some(connection) => connection,
-        None => connect(shared, &slot).await?,
-    };
+    let mut connection = acquire::connection(shared, job, &slot).await?;
     let sent = shared.clock.now();
     if sent >= job.deadline {
         slot.end();
@@ -137,6 +134,7 @@
         return Err(Failure::NotSent);
     }
     let request = build_request(shared, job, &slot.upstream, options);
+    slot.begin();
     let response = connection.sender.try_send_request(request);
     let response = tokio::select! {
         response = response => response,
@@ -147,11 +145,19 @@
         // The connection closed before any byte of the request was written.
         Err(error) if error.message().is_some() => {
             slot.end();
+            if !connection.is_used {
+                acquire::record_reset(shared, job, &slot.upstream.id, &connection, "before");
+            }
             return Err(Failure::NotSent);
         }
-        Err(_) => {
-            let lost = Failure::ConnectionLost;
-            return Err(record_lost(shared, job, &slot, &connection, lost).await);
+        Err(error) => {
+            let is_reset = !connection.is_used && acquire::is_reset(error.error());
+            let failure = Failure::ConnectionLost;
+            let loss = record_loss(shared, job, &slot, &connection, failure).await;
+            if is_reset && loss == Loss::Connection {
+                acquire::record_reset(shared, job, &slot.upstream.id, &connection, "after");
+            }
+            return Err(lost_failure(loss, failure));
         }
     };
     let (head, body) = response.into_parts();
@@ -204,7 +210,13 @@
     connection: &Connection,
     failure: Failure,
 ) -> Failure {
-    match record_loss(shared, job, slot, connection, failure).await {
+    let loss = record_loss(shared, job, slot, connection, failure).await;
+    lost_failure(loss, failure)
+}
+
+/// The failure of an attempt that ended with `failure` as `loss` happened.
+const fn lost_failure(loss: Loss, failure: Failure) -> Failure {
+    match loss {
         Loss::Connection | Loss::Upstream => failure,
         Loss::Path => Failure::PathLost,
     }
@@ -255,25 +267,6 @@
     }
 }
 
-async fn connect<C: Codec>(
-    shared: &Arc<Shared<C>>,
-    slot: &UpstreamSlot<C>,
-) -> Result<Connection, Failure> {
-    shared.metrics.connections.inc();
-    let opened = path::connect(shared, &slot.upstream).await;
-    opened.map_err(|error| {
-        log::info!(
-            upstream = slot.upstream.id.as_str(), address:% = slot.upstream.address, why:? = error;
-            "no connection to the upstream"
-        );
-        match error {
-            path::Error::Down(_) => slot.record(Event::Refused),
-            path::Error::NoPath(_) => slot.record(Event::Broke),
-        }
-        Failure::NotSent
-    })
-}
-
 /// Completes when the attempt should be abandoned: at the job's deadline, or when the response
 /// head is overdue and the job may be sent again. Otherwise keeps waiting, since the response may
 /// still arrive.
