fix(cloverpost): large bodies and incomplete events reserve their memory

Cause: each response could buffer 8 MB and each stream an incomplete event of 1 MB, without a bound for all of them together. An event was searched for its end from its start for each piece that arrived. A body or an event over the limit was no failure of the upstream, or was checked as a crash.

Change: each response may buffer 16 KiB; one that needs more reserves all that it may need, of 16 MB for all, until the caller's socket has taken it. Only new bytes of an event are searched. What is over the limit ends the attempt as malformed and counts as a broken connection of the upstream.

--- a/crates/cloverpost/src/gateway/events.rs
+++ b/crates/cloverpost/src/gateway/events.rs
@@ -3,7 +3,7 @@
 use bytes::{Bytes, BytesMut};
 
 /// Size limit of an event; a larger one fails the stream.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Splits a byte stream into complete events and tracks the id of the last one.
 ///
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     pending: BytesMut,
+    /// Length of the part of `pending` without an empty line, which is not scanned again.
+    scanned: usize,
     last_id: Option<String>,
     count: u32,
 }
@@ -25,11 +27,12 @@
     /// Appends `bytes` and returns the events that they complete; empty if none.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, TooLarge> {
         self.pending.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.pending);
+        let end = self.end_of_last_event();
         if self.pending.len() - end > MAX_EVENT_BYTES {
             return Err(TooLarge);
         }
         let events = self.pending.split_to(end).freeze();
+        self.scanned -= end;
         self.count += count_ids(&events);
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
@@ -49,6 +52,12 @@
         self.last_id.as_deref()
     }
 
+    /// Length of the buffered partial event.
+    #[must_use]
+    pub fn partial_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether a partial event is buffered.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
@@ -57,25 +66,27 @@
 
     /// Discards a buffered partial event before the stream resumes on another upstream.
     pub fn discard_partial(&mut self) {
-        self.pending.clear();
+        // Also releases the memory.
+        self.pending = BytesMut::new();
+        self.scanned = 0;
     }
-}
 
-/// Offset after the last empty line, which ends an event.
-fn end_of_last_event(bytes: &[u8]) -> usize {
-    let mut end = 0;
-    let mut line_start = 0;
-    for (offset, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let is_empty = matches!(&bytes[line_start..offset], [] | [b'\r']);
-        if is_empty {
-            end = offset + 1;
+    /// Offset after the last empty line, which ends an event. Scans only new bytes: an event of a
+    /// megabyte may arrive in some ten thousand pieces.
+    fn end_of_last_event(&mut self) -> usize {
+        let bytes = &self.pending[..];
+        let mut end = 0;
+        let new = bytes.iter().enumerate().skip(self.scanned);
+        for (offset, _) in new.filter(|(_, byte)| **byte == b'\n') {
+            let line = bytes[..offset].strip_suffix(b"\r");
+            let line = line.unwrap_or(&bytes[..offset]);
+            if line.is_empty() || line.ends_with(b"\n") {
+                end = offset + 1;
+            }
         }
-        line_start = offset + 1;
+        self.scanned = bytes.len();
+        end
     }
-    end
 }
 
 /// Number of events with an id; those without are keep-alive comments.
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 
 mod attempt;
 pub mod breaker;
+pub mod buffers;
 pub mod codec;
 pub mod command;
 pub mod control;
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
+use crate::gateway::buffers::Buffers;
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
 use crate::gateway::evidence::Evidence;
@@ -54,6 +55,8 @@
     pub is_routable: watch::Sender<bool>,
     /// Connections to upstreams.
     pub pool: Pool,
+    /// Memory for large responses.
+    pub buffers: Buffers,
     /// Links to peers, once the control thread has bound them.
     pub links: OnceLock<peer::Links>,
     /// The other VMs.
@@ -113,6 +116,7 @@
             view: ArcSwap::default(),
             is_routable: watch::Sender::new(false),
             pool: Pool::new(clock),
+            buffers: Buffers::default(),
             links: OnceLock::new(),
             peers: ArcSwap::default(),
             metrics: Metrics::new(),
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -13,8 +13,9 @@
 
 use crate::gateway::Shared;
 use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
+use crate::gateway::buffers::{self, Reservation};
 use crate::gateway::codec::Codec;
-use crate::gateway::events::Splitter;
+use crate::gateway::events::{MAX_EVENT_BYTES, Splitter};
 use crate::gateway::in_flight::InFlightGuard;
 use crate::gateway::job::Job;
 use crate::gateway::pool::Connection;
@@ -41,6 +42,8 @@
     tried: Vec<id::Upstream>,
     model: Option<id::Model>,
     splitter: Splitter,
+    /// Memory for an event that is incomplete and large.
+    reservation: Option<Reservation>,
     /// Response head of the first run.
     pub head: http::response::Parts,
     running: Option<UpstreamRun<C>>,
@@ -86,6 +89,7 @@
             tried,
             model,
             splitter: Splitter::default(),
+            reservation: None,
             head: response.head,
             running: Some(UpstreamRun {
                 slot: response.slot,
@@ -168,7 +172,13 @@
         loop {
             let frame = tokio::select! {
                 frame = running.body.frame() => frame,
-                failure = wait_for_stall(&self.shared, &self.job, &running.slot, since, may_resume) => return Err(failure),
+                failure = wait_for_stall(&self.shared, &self.job, &running.slot, since, may_resume) => {
+                    // The upstream was not silent: it did not end its event.
+                    if self.reservation.is_some() {
+                        running.slot.record(Event::Broke);
+                    }
+                    return Err(failure);
+                }
             };
             let data = match frame {
                 None if self.splitter.has_partial_event() => return Err(self.record_lost().await),
@@ -177,10 +187,23 @@
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             running.slot.record(Event::Heard);
-            let events = self.splitter.push(&data);
-            let events = events.map_err(|_too_large| Failure::Malformed)?;
+            let Ok(events) = self.splitter.push(&data) else {
+                running.slot.record(Event::Broke);
+                return Err(Failure::Malformed);
+            };
             if !events.is_empty() {
-                return Ok(Some(events));
+                let reservation = self.reservation.take();
+                return Ok(Some(match reservation {
+                    Some(reservation) => reservation.attach(events),
+                    None => events,
+                }));
+            }
+            let is_large = self.splitter.partial_bytes() > buffers::UNRESERVED_BYTES;
+            if is_large && self.reservation.is_none() {
+                let left = self.job.deadline.since(self.shared.clock.now());
+                let reserve = self.shared.buffers.reserve(2 * MAX_EVENT_BYTES);
+                let reservation = tokio::time::timeout(left, reserve).await;
+                self.reservation = Some(reservation.map_err(|_elapsed| Failure::Stalled)?);
             }
         }
     }
@@ -219,6 +242,7 @@
     /// Resumes the stream on another upstream after a failure, if a retry is allowed.
     async fn resume(&mut self, mut failure: Failure) -> Result<(), Refusal> {
         self.splitter.discard_partial();
+        self.reservation = None;
         loop {
             log::info!(
                 id = self.job.head.id.as_str(), result = failure.as_str(),
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -7,10 +7,12 @@
 use cloverpost_core::dispatch::{Dispatch, Failure, Next, Options};
 use cloverpost_core::refusal::Refusal;
 use http::Response;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 
 use crate::gateway::Shared;
 use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
+use crate::gateway::buffers;
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
@@ -155,13 +157,19 @@
         ..
     } = response;
     let left = job.deadline.since(shared.clock.now());
-    let body = tokio::time::timeout(left, Limited::new(body, MAX_RESPONSE_BYTES).collect());
+    let body = tokio::time::timeout(left, read_body(shared, body));
     let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
     slot.end();
-    let Ok(body) = body else {
-        return Err(
-            attempt::record_lost(shared, job, &slot, &connection, Failure::Truncated).await,
-        );
+    let body = match body {
+        Ok(body) => body,
+        Err(BodyError::TooLarge) => {
+            slot.record(Event::Broke);
+            return Err(Failure::Malformed);
+        }
+        Err(BodyError::Truncated) => {
+            let lost = Failure::Truncated;
+            return Err(attempt::record_lost(shared, job, &slot, &connection, lost).await);
+        }
     };
     let end = if is_unframed {
         attempt::find_end(shared, job, &slot).await?
@@ -175,12 +183,59 @@
         Event::Succeeded
     });
     Ok(Received {
-        response: into_response(&head, body.to_bytes()),
+        response: into_response(&head, body),
         is_failure,
         end,
     })
 }
 
+/// Why a body was not read to its end.
+enum BodyError {
+    /// It exceeds [`MAX_RESPONSE_BYTES`].
+    TooLarge,
+    /// The connection was lost, or the body is malformed.
+    Truncated,
+}
+
+/// Reads `body` to its end. Bytes beyond the first ones are read only once memory is reserved for all
+/// of it.
+async fn read_body<C: Codec>(shared: &Shared<C>, mut body: Incoming) -> Result<Bytes, BodyError> {
+    let declared = body.size_hint().exact();
+    let max = declared.map_or(MAX_RESPONSE_BYTES, |length| {
+        usize::try_from(length).unwrap_or(usize::MAX)
+    });
+    if max > MAX_RESPONSE_BYTES {
+        return Err(BodyError::TooLarge);
+    }
+    let mut reservation = match declared {
+        Some(_) if max > buffers::UNRESERVED_BYTES => Some(shared.buffers.reserve(max).await),
+        _ => None,
+    };
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BodyError::Truncated)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = bytes.len() + data.len();
+        if length > max {
+            return Err(BodyError::TooLarge);
+        }
+        if length > buffers::UNRESERVED_BYTES && reservation.is_none() {
+            reservation = Some(shared.buffers.reserve(max).await);
+        }
+        if reservation.is_some() && length > bytes.capacity() {
+            // A buffer that grows is copied, and takes up to twice the reserved memory meanwhile.
+            bytes.reserve_exact(max - bytes.len());
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(match reservation {
+        Some(reservation) => reservation.attach(bytes),
+        None => bytes.into(),
+    })
+}
+
 fn into_response(head: &http::response::Parts, body: Bytes) -> FullResponse {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
--- a/crates/cloverpost/tests/behaviour/gateway/events.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/events.rs
@@ -1,5 +1,7 @@
 //! Splitting of event streams.
 
+use std::time::Duration;
+
 use cloverpost::gateway::events::Splitter;
 use proptest::prelude::*;
 
@@ -45,6 +47,23 @@
     assert!(splitter.push(&line).is_err());
 }
 
+#[test]
+fn an_event_in_many_pieces_is_scanned_once() {
+    // Scans of the whole event for each of its pieces would read 16 GB here.
+    let mut splitter = Splitter::default();
+    let start = std::time::Instant::now();
+    for _ in 0..32 * 1024 {
+        assert_eq!(splitter.push(&[b'x'; 31]).unwrap(), "");
+    }
+    assert_eq!(splitter.partial_bytes(), 31 * 32 * 1024);
+    assert!(start.elapsed() < Duration::from_secs(5));
+    assert_eq!(
+        splitter.push(b"\n\nid: 2\n").unwrap().len(),
+        31 * 32 * 1024 + 2
+    );
+    assert_eq!(splitter.push(b"\n").unwrap(), "id: 2\n\n");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::with_cases(256) })]
 
--- a/crates/cloverpost/tests/behaviour/gateway/mod.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Gateway tests without sockets.
 
 mod breaker;
+mod buffers;
 mod events;
 mod settings;
