fix(cloverpost): an attempt ends at the 17th interim response

Cause: the HTTP library reads interim responses in a loop that does not yield, so one upstream that sends them without end stopped the router's thread with all timers and requests.

Change: they are counted, and the attempt ends as malformed beyond 16, a broken connection of the upstream and a failure in the evidence of a rollout.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -12,6 +12,7 @@
 use crate::gateway::Shared;
 use crate::gateway::codec::{Attempt, Classification, Codec};
 use crate::gateway::crashes;
+use crate::gateway::interim::Interim;
 use crate::gateway::job::Job;
 use crate::gateway::path::{self, Loss};
 use crate::gateway::pool::Connection;
@@ -131,10 +132,16 @@
         shared.pool.put_back(connection);
         return Err(Failure::NotSent);
     }
-    let request = build_request(shared, job, &slot.upstream, options);
+    let mut request = build_request(shared, job, &slot.upstream, options);
+    let interim = Interim::default();
+    interim.watch(&mut request);
     let response = connection.sender.try_send_request(request);
     let response = tokio::select! {
         response = response => response,
+        () = interim.exceeded() => {
+            slot.record(Event::Broke);
+            return Err(Failure::Malformed);
+        }
         failure = wait_for_head_timeout(shared, job, &slot, sent, options.may_retry) => return Err(failure),
     };
     let response = match response {
@@ -380,7 +387,7 @@
         Ok(response) if response.is_failure => HeadOutcome::Failed,
         Ok(_) => HeadOutcome::Received,
         Err(Failure::ConnectionLost) => HeadOutcome::Lost,
-        Err(Failure::Mismatched) => HeadOutcome::Failed,
+        Err(Failure::Mismatched | Failure::Malformed) => HeadOutcome::Failed,
         Err(_) => HeadOutcome::NotRun,
     };
     if matches!(result, Err(Failure::TimedOut)) {
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 pub mod faults;
 mod follow;
 mod in_flight;
+mod interim;
 mod job;
 mod loads;
 pub mod metrics;
