fix(cloverpost): less is buffered for each response that is not read

Cause: a connection to an upstream could buffer 400 KiB (the default of the HTTP library), and the kernel megabytes on either side, times some hundred responses whose callers do not read.

Change: heads, and the bytes of a body read at once, are limited to 16 KiB; socket buffers for callers and from upstreams to 128 KiB, which the kernel doubles.

--- a/crates/cloverpost/src/gateway/dial.rs
+++ b/crates/cloverpost/src/gateway/dial.rs
@@ -82,6 +82,7 @@
             .await
             .map_err(|_elapsed| Error::TimedOut)??;
         socket::configure(&stream, socket::UPSTREAM_TIMEOUTS);
+        socket::limit_receive_buffer(&stream);
         Ok(self.faults.wrap(stream))
     }
 }
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -32,6 +32,10 @@
 /// Age after which a connection through another VM is not reused. That VM checks only as it opens the
 /// connection whether the upstream has asked it for no requests.
 const MAX_TUNNEL_AGE: Duration = Duration::from_millis(400);
+/// Size limit of a response head, and of the bytes of a body that are read at once. The default of
+/// hyper, 400 KiB, times some hundred responses that arrive faster than their callers read exceeds
+/// the memory of a small VM.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Limit of idle connections per upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
@@ -163,7 +167,9 @@
     where
         S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
     {
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| dial::Error::Failed)?;
         let driver = tokio::spawn(async move {
             // A connection error also reaches the request on the connection.
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -58,6 +58,7 @@
 
 async fn serve<C: Codec>(shared: Arc<Shared<C>>, stream: TcpStream) {
     socket::configure(&stream, socket::CALLER_TIMEOUTS);
+    socket::limit_send_buffer(&stream);
     let limits = shared
         .view
         .load()
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -34,6 +34,23 @@
 /// have not.
 pub const PEER_TIMEOUTS: DeadPeerTimeouts = CALLER_TIMEOUTS;
 
+/// Size of limited socket buffers, which the kernel doubles for its own data. It is the product of
+/// 10 Mbit/s and 100 ms. By itself the kernel lets a buffer grow to megabytes, which count against
+/// the memory of the VM while the caller does not read.
+const BUFFER_BYTES: usize = 128 * 1024;
+
+/// Limits the kernel's memory for bytes that the peer of `stream` has not read.
+pub fn limit_send_buffer(stream: &TcpStream) {
+    // Without the limit, the kernel chooses the size.
+    let _ = SockRef::from(stream).set_send_buffer_size(BUFFER_BYTES);
+}
+
+/// Limits the kernel's memory for bytes from the peer of `stream` that are not read.
+pub fn limit_receive_buffer(stream: &TcpStream) {
+    // Without the limit, the kernel chooses the size.
+    let _ = SockRef::from(stream).set_recv_buffer_size(BUFFER_BYTES);
+}
+
 /// Disables Nagle's algorithm on `stream`, which would delay small messages.
 pub fn disable_nagle(stream: &TcpStream) {
     // Without the option, messages are only late.
