fix(cloverpost): tell a reset for lack of capacity from an upstream that is down

Cause: a reset that arrives before the VM looks at the connect fails the connect itself. It was taken for an upstream that is down: the upstream was left out, and five attempts ended at once with 503. On a busy VM the reset and the 2 ms timer may be due in one turn of the runtime, and the reset was missed. A connection that goes from one request to the next may not take a request yet.

Change: such a connect is a reset before the request was sent. After the timer the runtime reads the socket once more. A request that gets a returned connection waits up to 2 ms until that takes it. Connections of path checks are checked in the same way before they serve requests. The resets are exported as a histogram of their ages.

Resets that come later than 2 ms, which a busy machine causes, are told by the histogram; any earlier one after a request was written fails the test. With the check disabled the test of the reset after the accept fails by that.

--- a/crates/cloverpost/src/gateway/acquire.rs
+++ b/crates/cloverpost/src/gateway/acquire.rs
@@ -49,8 +49,12 @@
             Acquired::Permit(permit) => permit,
             Acquired::Waiting(waiting) => {
                 match wait_for_grant(shared, job, slot, waiting, started, wait).await? {
-                    Grant::Connection(connection) if connection.is_over() => continue,
-                    Grant::Connection(connection) => return Ok(connection),
+                    Grant::Connection(mut connection) => {
+                        if connection.ready().await {
+                            return Ok(connection);
+                        }
+                        continue;
+                    }
                     Grant::Permit(permit) => permit,
                 }
             }
@@ -114,11 +118,11 @@
         .with_label_values(&[job.service.as_str(), result])
         .inc();
     let upstream = &slot.upstream.id;
-    let (open, bound) = shared.pool.connections().status(upstream);
+    let (open, limit) = shared.pool.connections().status(upstream);
     let waited = shared.clock.now().since(since);
     log::info!(
         id = job.head.id.as_str(), upstream = upstream.as_str(), result, priority = job.priority(),
-        waited_ms = response::millis(waited), open, bound:?;
+        waited_ms = response::millis(waited), open, bound:? = limit;
         "request waited for a connection to the upstream"
     );
 }
@@ -134,7 +138,11 @@
 ) -> Result<Connection, NotOpened> {
     shared.metrics.connections.opened.inc();
     let upstream = &slot.upstream;
+    let since = permit.since;
     let opened = path::connect(shared, upstream, permit).await;
+    if matches!(opened, Err(path::Error::Reset)) {
+        return Err(record_unsent(shared, job, &upstream.id, since));
+    }
     let mut connection = opened.map_err(|error| {
         log::info!(
             upstream = upstream.id.as_str(), address:% = upstream.address, why:? = error;
@@ -143,6 +151,7 @@
         match error {
             path::Error::Down(_) => slot.record(Event::Refused),
             path::Error::NoPath(_) => slot.record(Event::Broke),
+            path::Error::Reset => {}
         }
         NotOpened::Unreachable
     })?;
@@ -151,32 +160,56 @@
     if !is_checked || connection.settle().await {
         return Ok(connection);
     }
-    record_reset(shared, job, &upstream.id, &connection, "before");
-    Err(NotOpened::Reset)
+    Err(record_unsent(shared, job, &upstream.id, since))
+}
+
+/// Records a reset before the request was written, of a connection that was asked for at `since`.
+fn record_unsent<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    upstream: &id::Upstream,
+    since: time::Moment,
+) -> NotOpened {
+    let reset = Reset {
+        since,
+        at: shared.clock.now(),
+        when: "before",
+    };
+    record_reset(shared, job, upstream, reset);
+    NotOpened::Reset
 }
 
-/// Records that `upstream` reset a new connection, `when` a request was written to it.
+/// Reset of a new connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Reset {
+    /// When leave to open the connection was given.
+    pub since: time::Moment,
+    /// When the reset was seen.
+    pub at: time::Moment,
+    /// `before` or `after` a request was written.
+    pub when: &'static str,
+}
+
+/// Records that `upstream` reset a new connection.
 pub fn record_reset<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
     upstream: &id::Upstream,
-    connection: &Connection,
-    when: &str,
+    reset: Reset,
 ) {
+    let Reset { since, at, when } = reset;
+    let age = at.since(since);
     let resets = &shared.metrics.connections.resets;
     resets
         .with_label_values(&[job.service.as_str(), when])
-        .inc();
-    let connections = shared.pool.connections();
-    let limit = connections.record_reset(upstream, connection.permitted());
-    let age = shared.clock.now().since(connection.permitted());
+        .observe(age.as_secs_f64());
+    let is_reduced = shared.pool.connections().record_reset(upstream, since);
     log::info!(
         id = job.head.id.as_str(), upstream = upstream.as_str(), when, age_ms = response::millis(age);
         "the upstream reset a new connection"
     );
-    if let Some(limit) = limit {
-        log::info!(upstream = upstream.as_str(), limit; "new connections exceed what the upstream accepts");
-        connections::log_change(shared, upstream, "the bound on connections is reduced");
+    if is_reduced.is_some() {
+        connections::log_change(shared, upstream, connections::REDUCED);
     }
 }
 
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -135,13 +135,20 @@
         response = response => response,
         failure = wait_for_head_timeout(shared, job, &slot, sent, options.may_retry) => return Err(failure),
     };
+    let ended = shared.clock.now();
+    let since = connection.permitted();
+    let reset = |when| acquire::Reset {
+        since,
+        at: ended,
+        when,
+    };
     let response = match response {
         Ok(response) => response,
         // The connection closed before any byte of the request was written.
         Err(error) if error.message().is_some() => {
             slot.end();
             if !connection.is_used {
-                acquire::record_reset(shared, job, &slot.upstream.id, &connection, "before");
+                acquire::record_reset(shared, job, &slot.upstream.id, reset("before"));
             }
             return Err(Failure::NotSent);
         }
@@ -150,7 +157,7 @@
             let failure = Failure::ConnectionLost;
             let (failure, loss) = find_lost(shared, job, &slot, &connection, failure).await;
             if is_reset && loss == Loss::Connection {
-                acquire::record_reset(shared, job, &slot.upstream.id, &connection, "after");
+                acquire::record_reset(shared, job, &slot.upstream.id, reset("after"));
             }
             return Err(failure);
         }
--- a/crates/cloverpost/src/gateway/connections.rs
+++ b/crates/cloverpost/src/gateway/connections.rs
@@ -17,6 +17,9 @@
 use crate::gateway::codec::Codec;
 use crate::gateway::pool::Connection;
 
+/// Log line of a reset that reduces a bound.
+pub const REDUCED: &str = "the bound on connections is reduced";
+
 /// Connections of this VM to upstreams, and the requests that wait for one. Clones refer to the same
 /// state.
 #[derive(Clone, Debug)]
@@ -244,14 +247,13 @@
         self.state().register.has_capacity(upstream, now)
     }
 
-    /// Open connections to `upstream` and the bound on them, for the log.
+    /// Open connections to `upstream` and the limit in force, for the log.
     #[must_use]
-    pub fn status(&self, upstream: &id::Upstream) -> (usize, Bound) {
+    pub fn status(&self, upstream: &id::Upstream) -> (usize, Option<usize>) {
+        let now = self.0.clock.now();
         let state = self.state();
-        (
-            state.register.open(upstream),
-            state.register.bound(upstream),
-        )
+        let limit = state.register.limit(upstream, now);
+        (state.register.open(upstream), limit)
     }
 
     /// Forgets the resets of the earlier process of `upstream`.
@@ -325,10 +327,10 @@
 
 /// Logs `change` of the bound on connections to `upstream`.
 pub fn log_change<C: Codec>(shared: &Shared<C>, upstream: &id::Upstream, change: &str) {
-    let (open, bound) = shared.pool.connections().status(upstream);
+    let (open, limit) = shared.pool.connections().status(upstream);
     let idle = shared.pool.count_idle(upstream);
     log::info!(
-        upstream = upstream.as_str(), open, idle, bound:?, fleet:% = shared.fleet();
+        upstream = upstream.as_str(), open, idle, bound:? = limit, fleet:% = shared.fleet();
         "{change}"
     );
 }
--- a/crates/cloverpost/src/gateway/dial.rs
+++ b/crates/cloverpost/src/gateway/dial.rs
@@ -19,6 +19,8 @@
 pub enum Error {
     /// The host refused the connection, as while no process listens.
     Refused,
+    /// The host accepted the connection and reset it at once, as without capacity for another.
+    Reset,
     /// The host did not answer in time.
     TimedOut,
     /// The connect failed for another reason, as without a route to the host.
@@ -31,6 +33,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Refused => "refused",
+            Self::Reset => "reset",
             Self::TimedOut => "timed_out",
             Self::Failed => "failed",
         }
@@ -41,6 +44,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Refused => "the connection was refused",
+            Self::Reset => "the connection was reset",
             Self::TimedOut => "the connect timed out",
             Self::Failed => "the connect failed",
         })
@@ -53,6 +57,7 @@
     fn from(error: io::Error) -> Self {
         match error.kind() {
             io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::ConnectionReset => Self::Reset,
             io::ErrorKind::TimedOut => Self::TimedOut,
             _ => Self::Failed,
         }
--- a/crates/cloverpost/src/gateway/metrics/connections.rs
+++ b/crates/cloverpost/src/gateway/metrics/connections.rs
@@ -1,14 +1,21 @@
 //! Metrics of connections to upstreams.
 
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Upper bounds of the ages at which new connections are reset, in seconds. A request that may not be
+/// repeated is written to a connection after 2 ms.
+const AGE_BUCKETS: [f64; 7] = [0.001, 0.002, 0.003, 0.005, 0.01, 0.1, 1.0];
 
 /// Metrics of connections to upstreams.
 #[derive(Clone, Debug)]
 pub struct Connections {
     /// Connections opened.
     pub opened: IntCounter,
-    /// New connections that the upstream closed, by service and by whether a request was written.
-    pub resets: IntCounterVec,
+    /// Ages of new connections that the upstream reset, in seconds, by service and by whether a request
+    /// was written.
+    pub resets: HistogramVec,
     /// Waits for a connection, by service and result.
     pub waits: IntCounterVec,
     /// Connections that are open or being opened.
@@ -22,11 +29,12 @@
             "upstream_connections_total",
             "connections opened to upstreams",
         );
-        let resets = Opts::new(
-            "upstream_connections_reset_total",
-            "new connections that the upstream closed, before or after a request was written",
+        let resets = HistogramOpts::new(
+            "upstream_connection_reset_seconds",
+            "ages of new connections that the upstream reset, before or after a request was written",
         );
-        let resets = IntCounterVec::new(resets, &["service", "when"]);
+        let resets = resets.buckets(AGE_BUCKETS.to_vec());
+        let resets = HistogramVec::new(resets, &["service", "when"]);
         let waits = Opts::new(
             "upstream_connection_waits_total",
             "waits for a connection to an upstream that had none left for this VM, by result",
--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -15,7 +15,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
-use crate::gateway::connections::Permit;
+use crate::gateway::connections::{self, Permit};
 use crate::gateway::dial;
 use crate::gateway::faults;
 use crate::gateway::pool::Connection;
@@ -54,6 +54,8 @@
     Down(dial::Error),
     /// This VM has no path to it; the state of the upstream is unknown.
     NoPath(dial::Error),
+    /// The upstream accepted the connection and reset it at once. Another way would not change that.
+    Reset,
 }
 
 /// What was lost with a connection.
@@ -121,6 +123,7 @@
     tokio::pin!(direct);
     let error = match tokio::time::timeout(SECOND_WAY_DELAY, &mut direct).await {
         Ok(Ok(connection)) => return Ok(connection),
+        Ok(Err(dial::Error::Reset)) => return Err(Error::Reset),
         Ok(Err(error)) => error,
         Err(_elapsed) => return connect_both_ways(shared, upstream, permit, direct).await,
     };
@@ -140,6 +143,7 @@
     tokio::select! {
         opened = &mut direct => match opened {
             Ok(connection) => Ok(connection),
+            Err(dial::Error::Reset) => Err(Error::Reset),
             Err(error) => after_direct_failure(shared, upstream, error, tunnelled.await),
         },
         opened = &mut tunnelled => match opened {
@@ -341,10 +345,11 @@
         };
         match connect_direct(shared, upstream, permit).await {
             Ok(connection) => {
-                shared.pool.put_back(connection);
+                put_back_new(shared, upstream, connection).await;
                 return Loss::Connection;
             }
             Err(dial::Error::Refused) => {}
+            Err(dial::Error::Reset) => return Loss::Connection,
             Err(_) => return Loss::Path,
         }
     }
@@ -375,6 +380,23 @@
     }
 }
 
+/// Adds a connection without a request to the pool, unless the upstream resets it for lack of capacity.
+async fn put_back_new<C: Codec>(
+    shared: &Shared<C>,
+    upstream: &directory::Upstream,
+    mut connection: Connection,
+) {
+    if connection.settle().await {
+        shared.pool.put_back(connection);
+        return;
+    }
+    let register = shared.pool.connections();
+    let reduced = register.record_reset(&upstream.id, connection.permitted());
+    if reduced.is_some() {
+        connections::log_change(shared, &upstream.id, connections::REDUCED);
+    }
+}
+
 /// Asks other VMs for a tunnel to `upstream`, to find out whether they reach it.
 async fn ask_witnesses<C: Codec>(
     shared: &Shared<C>,
@@ -408,7 +430,7 @@
     }
     match connect(shared, upstream, count(shared, upstream)).await {
         Ok(connection) => !connection.is_tunnelled(),
-        Err(Error::Down(_)) => true,
+        Err(Error::Down(_) | Error::Reset) => true,
         Err(Error::NoPath(_)) => false,
     }
 }
@@ -417,9 +439,10 @@
 pub async fn is_direct<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> bool {
     match connect(shared, upstream, count(shared, upstream)).await {
         Ok(connection) if !connection.is_tunnelled() => {
-            shared.pool.put_back(connection);
+            put_back_new(shared, upstream, connection).await;
             true
         }
+        Err(Error::Reset) => true,
         Ok(_) | Err(_) => false,
     }
 }
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -130,7 +130,22 @@
             return false;
         }
         let closed = tokio::time::timeout(SETTLE_TIME, &mut self.driver).await;
-        closed.is_err() && !self.is_over()
+        if closed.is_ok() {
+            return false;
+        }
+        // On a busy VM the reset and the timer may be due in the same turn of the runtime: the first
+        // yield lets it read the socket's state, the second lets the driver act on it.
+        for _ in 0..2 {
+            tokio::task::yield_now().await;
+        }
+        !self.driver.is_finished() && !self.is_over()
+    }
+
+    /// Waits until the connection, which another request has returned, takes a request; returns `false`
+    /// if it does not within some milliseconds.
+    pub async fn ready(&mut self) -> bool {
+        let ready = tokio::time::timeout(SETTLE_TIME, self.sender.ready()).await;
+        matches!(ready, Ok(Ok(()))) && !self.is_over()
     }
 
     /// Records the timeout of a `Keep-Alive` header in a response head.
--- a/crates/cloverpost/src/gateway/tunnels.rs
+++ b/crates/cloverpost/src/gateway/tunnels.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::codec::Codec;
+use crate::gateway::dial;
 use crate::gateway::faults;
 use crate::gateway::path;
 use crate::gateway::shared::Phase;
@@ -92,6 +93,10 @@
             None => Ok(stream),
         };
     }
+    if let Ok(Err(dial::Error::Reset)) = dialled {
+        // It is reached, but takes no connection.
+        return Err(Rejection::PushedBack);
+    }
     if path::reaches_others(shared, upstream).await {
         Err(Rejection::UpstreamDown)
     } else {
