perf(cloverpost): update the bounds of the upstreams in use only

Cause: each tick of 125 ms counted the VMs of the zone once for each upstream, which is the product of two large numbers in a large deployment.

Change: the VMs are counted once in a tick, and bounds are updated where this VM has a connection.

Tests: platform/tests/behaviour/connections.rs, 11 pass.

--- a/crates/cloverpost-core/src/connections/register.rs
+++ b/crates/cloverpost-core/src/connections/register.rs
@@ -67,6 +67,12 @@
         self.connections(upstream).open
     }
 
+    /// Upstreams with a connection that is open or being opened.
+    pub fn used(&self) -> impl Iterator<Item = &id::Upstream> {
+        let used = self.0.iter().filter(|(_, one)| one.open > 0);
+        used.map(|(upstream, _)| upstream)
+    }
+
     /// Connections to all upstreams that are open or being opened.
     #[must_use]
     pub fn total(&self) -> usize {
--- a/crates/cloverpost/src/gateway/connections.rs
+++ b/crates/cloverpost/src/gateway/connections.rs
@@ -4,6 +4,7 @@
 //! it, another request gets the place: the one that waits with the highest priority.
 
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use cloverpost_core::connections::{Bound, Decision, Demand, Queue, Register, Ticket};
@@ -30,6 +31,8 @@
     clock: Clock,
     /// Number of open connections.
     open: IntGauge,
+    /// Number of VMs of the zone, which report their loads to each other.
+    reporters: AtomicU32,
     state: Mutex<State>,
 }
 
@@ -117,6 +120,7 @@
         Self(Arc::new(Inner {
             clock,
             open,
+            reporters: AtomicU32::new(1),
             state: Mutex::default(),
         }))
     }
@@ -213,6 +217,11 @@
         restored
     }
 
+    /// Upstreams with a connection.
+    fn used(&self) -> HashSet<id::Upstream> {
+        self.state().register.used().cloned().collect()
+    }
+
     /// Sets the bound on connections to `upstream`.
     pub fn set_bound(&self, upstream: &id::Upstream, bound: Bound) {
         self.state().register.set_bound(upstream, bound);
@@ -299,24 +308,35 @@
 }
 
 fn demand<C: Codec>(shared: &Shared<C>, upstream: &id::Upstream) -> Demand {
-    let zone = &shared.settings.load().zone;
-    let peers = shared.peers.load();
-    let reporters = peers.iter().filter(|member| member.zone == *zone).count() + 1;
+    let reporters = &shared.pool.connections().0.reporters;
     let now = shared.clock.now();
     let balancer = shared.balancer();
     Demand {
         own: balancer.in_flight(upstream),
         peers: balancer.in_flight_of_peers(upstream, now),
-        reporters: u32::try_from(reporters).unwrap_or(u32::MAX),
+        reporters: reporters.load(Ordering::Relaxed),
     }
 }
 
+/// Counts the VMs of the zone, which is too slow for each request.
+fn count_reporters<C: Codec>(shared: &Shared<C>) {
+    let settings = shared.settings.load();
+    let peers = shared.peers.load();
+    let zone = peers.iter().filter(|member| member.zone == settings.zone);
+    let count = u32::try_from(zone.count() + 1).unwrap_or(u32::MAX);
+    let reporters = &shared.pool.connections().0.reporters;
+    reporters.store(count, Ordering::Relaxed);
+}
+
 /// Updates the bounds, closes idle connections that occupy scarce capacity and lets waiting requests
 /// open connections where limits have recovered.
 pub fn tick<C: Codec>(shared: &Shared<C>) {
     let view = shared.view.load();
-    for upstream in view.upstreams() {
-        update_bound(shared, upstream);
+    count_reporters(shared);
+    let used = shared.pool.connections().used();
+    if !used.is_empty() {
+        let upstreams = view.upstreams().filter(|one| used.contains(&one.id));
+        upstreams.for_each(|upstream| update_bound(shared, upstream));
     }
     shared.pool.close_scarce();
     for upstream in shared.pool.connections().recover() {
