fix(cloverpost): callers that do not read are disconnected in bounded time and counted

Cause: only the kernel ended the connection of a caller that does not read, after 5 s with a closed window; nothing told of it, and a caller that reads a little now and then held its response, and the upstream of its stream, beyond the deadline.

Change: a connection is reset 10 s after the last byte that a caller took, 5 s after the deadline of its stream, or 30 s after a complete response was ready. One counter and one log line say so, also when the kernel was first.

--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod callers;
 mod eras;
 mod fragile;
 mod paths;
@@ -19,6 +20,7 @@
 
 use crate::peer;
 
+pub use callers::Callers;
 pub use eras::Eras;
 pub use fragile::Fragile;
 pub use paths::Paths;
@@ -75,6 +77,8 @@
     pub pushback: Pushback,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
+    /// Callers that do not read their responses.
+    pub callers: Callers,
     /// Paths to upstreams.
     pub paths: Paths,
     /// Requests in flight.
@@ -180,6 +184,7 @@
                 "upstream_connections_total",
                 "connections opened to upstreams",
             ),
+            callers: Callers::register(&registry),
             paths: Paths::register(&registry),
             in_flight: gauge("in_flight", "requests in flight"),
             first_byte: register_first_byte(&registry),
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod attempt;
 pub mod breaker;
 pub mod buffers;
+mod caller_stream;
 pub mod codec;
 pub mod command;
 pub mod control;
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -12,6 +12,7 @@
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 
+use crate::gateway::caller_stream::ReadBy;
 use crate::gateway::codec::{Codec, RequestHead};
 use crate::gateway::in_flight::InFlightGuard;
 use crate::gateway::job::Job;
@@ -194,6 +195,8 @@
             let mut response = Response::new(());
             *response.status_mut() = relay.head.status;
             *response.headers_mut() = crate::front::headers::end_to_end(&relay.head.headers);
+            let left = logged_job.deadline.since(now);
+            response.extensions_mut().insert(ReadBy::of_stream(left));
             return response.map(|()| Either::Right(StreamBody::new(relay.frames(in_flight))));
         }
         StreamStart::Failed(response) => {
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -16,6 +16,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::gateway::caller_stream::{self, CallerStream, ReadBy};
 use crate::gateway::codec::Codec;
 use crate::gateway::shared::Phase;
 use crate::gateway::{Shared, route};
@@ -67,10 +68,19 @@
         .map(|index| *index.limits());
     let limits = limits.unwrap_or_default();
     let mut phase = shared.phase.subscribe();
+    let limit = caller_stream::Limit::default();
+    let disconnects = shared.metrics.callers.disconnects.clone();
+    let stream = CallerStream::new(stream, limit.clone(), disconnects);
     let service_state = shared.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let response = route::handle(service_state.clone(), request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let limit = limit.clone();
+        async move {
+            let response = response.await;
+            let read_by = response.extensions().get().copied();
+            limit.set(read_by.unwrap_or_else(ReadBy::of_complete));
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -89,7 +99,7 @@
 }
 
 async fn serve_until_closing<S, B>(
-    connection: http1::Connection<TokioIo<TcpStream>, S>,
+    connection: http1::Connection<TokioIo<CallerStream>, S>,
     phase: &mut watch::Receiver<Phase>,
 ) where
     S: hyper::service::Service<Request<Incoming>, Response = http::Response<B>, Error = Infallible>,
