--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -3,6 +3,7 @@
 //! Metrics are exported in order of name. Control metrics sort before the large histograms, which
 //! a collector with a size limit may truncate.
 
+mod callers;
 mod connections;
 mod eras;
 mod fragile;
@@ -21,6 +22,7 @@
 
 use crate::peer;
 
+pub use callers::Callers;
 pub use connections::Connections;
 pub use eras::Eras;
 pub use fragile::Fragile;
@@ -79,6 +81,8 @@
     pub pushback: Pushback,
     /// Connections to upstreams.
     pub connections: Connections,
+    /// Callers that do not read their responses.
+    pub callers: Callers,
     /// Paths to upstreams.
     pub paths: Paths,
     /// Requests that arrive before the first configuration.
@@ -183,6 +187,7 @@
             fragile: Fragile::register(&registry),
             pushback: Pushback::register(&registry),
             connections: Connections::register(&registry),
+            callers: Callers::register(&registry),
             paths: Paths::register(&registry),
             startup: Startup::register(&registry),
             in_flight: gauge("in_flight", "requests in flight"),
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod attempt;
 pub mod breaker;
 pub mod buffers;
+mod caller_stream;
 pub mod codec;
 pub mod command;
 pub mod connections;
