feat(cloverpost-core): upstreams are compared by learnt speeds if `learn-speed` is set

Cause: latencies were compared without regard to the prompt, the load and the samples of other VMs.

Change: each response gives a ratio of measured to expected time to first byte; VMs of a zone add up the logarithms in their load digests. The score uses the decayed, shrunk and bounded mean relative to the pool, and a random factor, since VMs with equal estimates choose alike. Off by default. Frames have version 6.

Tests of the gateway and of the wire format were not run yet.

--- a/crates/cloverpost-core/src/balance/criteria.rs
+++ b/crates/cloverpost-core/src/balance/criteria.rs
@@ -38,3 +38,12 @@
     let bits = u32::try_from(hasher.finish() >> 32).unwrap_or_default();
     f64::from(bits) / f64::from(u32::MAX)
 }
+
+/// Random factor around 1, determined by `draw` and `upstream`, whose logarithm has the Gumbel
+/// distribution with scale `spread`. The lowest of equal costs then falls on each with equal
+/// probability, and on a cost that is lower by a factor of `f` with `f^(1 / spread)` times that.
+pub(super) fn random_factor(draw: u64, upstream: &id::Upstream, spread: f64) -> f64 {
+    let uniform = tie_break(draw, upstream).clamp(1e-9, 1.0 - 1e-9);
+    let gumbel = -(-uniform.ln()).ln();
+    (-spread * gumbel).exp()
+}
--- a/crates/cloverpost-core/src/balance/digest.rs
+++ b/crates/cloverpost-core/src/balance/digest.rs
@@ -1,8 +1,9 @@
 //! Upstream load messages exchanged by the VMs of an availability zone.
 
+use crate::balance::Ratios;
 use crate::id;
 
-/// Upstream loads. Idle upstreams are omitted.
+/// Upstream loads. Idle upstreams without recent speed samples are omitted.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct Digest {
@@ -20,6 +21,8 @@
     pub pending: f32,
     /// Requests in flight.
     pub in_flight: u32,
+    /// Speed samples of the last seconds, if VMs learn speeds.
+    pub ratios: Option<Ratios>,
 }
 
 /// A load message between two VMs.
--- a/crates/cloverpost-core/src/balance/load.rs
+++ b/crates/cloverpost-core/src/balance/load.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::balance::pace::Pace;
 use crate::balance::{Event, Options};
 use crate::time;
 
@@ -33,6 +34,8 @@
     /// Ejections since a response last began.
     ejections: u32,
     ejected_until: Option<time::Moment>,
+    /// Speed as measured by this VM.
+    pub(super) pace: Pace,
 }
 
 impl Load {
@@ -47,6 +50,7 @@
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: None,
+            pace: Pace::none(),
         }
     }
 
--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -6,6 +6,11 @@
 //! lowest score wins. An upstream that stops responding or refuses connections is ejected
 //! for a while, then probed with one request.
 //!
+//! Latency depends on the prompts and on the load, so a few long prompts look like a slow upstream. With
+//! [`Options::learn_speed`], the measured times to first byte are divided by the times expected for the
+//! work and the load ([`Balancer::expected_seconds`]), and the VMs of a zone add up their samples
+//! ([`Ratios`]), since those of one VM are few.
+//!
 //! Unlike [`crate::choice`], which relies on load reports of the upstreams, the balancer relies
 //! on the loads that the VMs report to each other.
 
@@ -14,7 +19,9 @@
 mod health;
 mod load;
 mod options;
+mod pace;
 mod peers;
+mod ratios;
 mod speed;
 
 pub use criteria::Criteria;
@@ -23,6 +30,7 @@
 pub use load::Load;
 pub use options::Options;
 pub use peers::{Aggregator, PeerLoads};
+pub use ratios::Ratios;
 pub use speed::Speed;
 
 use std::collections::{HashMap, HashSet};
@@ -33,6 +41,20 @@
 use crate::id;
 use crate::time;
 
+/// Bounds of an upstream's time to first byte relative to its pool, at equal work and load. A wrong
+/// estimate must neither empty an upstream nor draw all requests to it.
+const SLOWNESS_BOUNDS: (f64, f64) = (0.5, 3.0);
+/// Part of the time to first byte that does not depend on the load, in seconds.
+const BASE_LATENCY: f64 = 0.05;
+/// Additional time expected per unit of utilisation above [`Options::full_threshold`], as a part of the
+/// time on an upstream that is not full.
+const FULL_SLOWDOWN: f64 = 1.5;
+/// Spread of the random factor of the cost if speeds are learnt. The VMs of a zone learn the same speeds from
+/// the same reports; without it they choose the same upstreams until the next report.
+const LEARNT_SPREAD: f64 = 0.3;
+/// Samples below which an idle upstream gets no row in a digest.
+const MIN_REPORTED_SAMPLES: f32 = 0.25;
+
 /// Load balancer state of one VM.
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
@@ -78,7 +100,10 @@
             .map(|one| (one, self.load(&one.id)))
             .collect();
         let available = || candidates.iter().filter(|(_, load)| load.is_available(now));
-        let medians = PoolMedians::of(available().map(|(_, load)| *load));
+        let medians = PoolMedians::of(
+            available().map(|(_, load)| *load),
+            self.typical_log_ratio(available().map(|(one, load)| (&one.id, *load)), now),
+        );
         let preferred = preferred_upstreams(&candidates, criteria);
         let scored = available().map(|(one, load)| {
             (
@@ -175,15 +200,82 @@
         load.record(event, now, &self.options)
     }
 
-    /// Load caused by this VM.
+    /// Seconds to first byte expected of `upstream` for a request with `work` seconds of prompt
+    /// processing, at the load there before the request and the speed of its pool. `None` if the requests
+    /// that wait there outweigh this one: reports of other VMs are up to 0.25 s old, so the time says more
+    /// of their error than of the upstream.
+    #[must_use]
+    pub fn expected_seconds(
+        &self,
+        upstream: &directory::Upstream,
+        work: f64,
+        now: time::Moment,
+    ) -> Option<f64> {
+        let load = self.load(&upstream.id);
+        let (pending, in_flight) = self.peers.load(&upstream.id, now);
+        let pending = load.pending + pending;
+        if pending > work {
+            return None;
+        }
+        let in_flight = f64::from(load.in_flight) + f64::from(in_flight);
+        let utilisation = (in_flight + 1.0) / f64::from(upstream.slots.max(1));
+        let excess = (utilisation.min(1.0) - self.options.full_threshold).max(0.0);
+        Some(BASE_LATENCY + (pending + work) * (1.0 + excess * FULL_SLOWDOWN))
+    }
+
+    /// Records a response that began `took` seconds after the request was sent, where `expected` were
+    /// expected. Ignored unless speeds are learnt, or if either is not a positive number.
+    pub fn record_speed(
+        &mut self,
+        upstream: &id::Upstream,
+        took: f64,
+        expected: f64,
+        now: time::Moment,
+    ) {
+        if !self.options.learn_speed {
+            return;
+        }
+        if let Some(sample) = Ratios::of(took, expected) {
+            let load = self.loads.entry(upstream.clone()).or_default();
+            load.pace.record(sample, now);
+        }
+    }
+
+    /// Learnt speed of each of `pool`'s upstreams relative to the pool: 1.3 if responses begin 1.3 times
+    /// sooner for the same work. Empty unless speeds are learnt.
+    #[must_use]
+    pub fn speeds<'a>(
+        &self,
+        pool: &[&'a Arc<directory::Upstream>],
+        now: time::Moment,
+    ) -> Vec<(&'a id::Upstream, f64)> {
+        if !self.options.learn_speed {
+            return Vec::new();
+        }
+        let typical =
+            self.typical_log_ratio(pool.iter().map(|one| (&one.id, self.load(&one.id))), now);
+        let mut speeds = Vec::with_capacity(pool.len());
+        for one in pool {
+            let slowness = self.slowness(&one.id, self.load(&one.id), typical, now);
+            speeds.push((&one.id, 1.0 / slowness));
+        }
+        speeds
+    }
+
+    /// Load caused by this VM, and what it has measured of upstreams' speeds.
     #[must_use]
-    pub fn digest(&self) -> Digest {
-        let busy = self.loads.iter().filter(|(_, load)| load.in_flight > 0);
-        #[allow(clippy::cast_possible_truncation)] // seconds of work are few
-        let rows = busy.map(|(upstream, load)| Row {
-            upstream: upstream.clone(),
-            pending: load.pending as f32,
-            in_flight: load.in_flight,
+    pub fn digest(&self, now: time::Moment) -> Digest {
+        let rows = self.loads.iter().filter_map(|(upstream, load)| {
+            let ratios = load.pace.at(now);
+            let is_measured = ratios.samples >= MIN_REPORTED_SAMPLES;
+            #[allow(clippy::cast_possible_truncation)] // seconds of work are few
+            let row = Row {
+                upstream: upstream.clone(),
+                pending: load.pending as f32,
+                in_flight: load.in_flight,
+                ratios: is_measured.then_some(ratios),
+            };
+            (load.in_flight > 0 || is_measured).then_some(row)
         });
         Digest {
             rows: rows.collect(),
@@ -212,6 +304,29 @@
         self.loads.get(upstream).unwrap_or(&IDLE)
     }
 
+    /// Time to first byte of an upstream relative to its pool, at equal work and load.
+    fn slowness(&self, id: &id::Upstream, load: &Load, typical: f64, now: time::Moment) -> f64 {
+        let log = self.log_ratio(id, load, now) - typical;
+        log.exp().clamp(SLOWNESS_BOUNDS.0, SLOWNESS_BOUNDS.1)
+    }
+
+    fn log_ratio(&self, id: &id::Upstream, load: &Load, now: time::Moment) -> f64 {
+        let peers = self.peers.ratios(id, now);
+        load.pace.at(now).plus(peers).mean_log()
+    }
+
+    /// Median of the upstreams' mean logarithms. It is not 0: expectations may be off for the whole pool.
+    fn typical_log_ratio<'a>(
+        &self,
+        loads: impl Iterator<Item = (&'a id::Upstream, &'a Load)>,
+        now: time::Moment,
+    ) -> f64 {
+        if !self.options.learn_speed {
+            return 0.0;
+        }
+        median(loads.map(|(id, load)| self.log_ratio(id, load, now))).unwrap_or_default()
+    }
+
     /// Estimated cost, in seconds, of sending the request to `upstream`.
     fn score(
         &self,
@@ -226,7 +341,11 @@
         let (pending, in_flight) = self.peers.load(&upstream.id, now);
         let pending = load.pending + pending * options.others;
         let in_flight = f64::from(load.in_flight) + f64::from(in_flight) * options.others;
-        let relative_latency = load.relative_latency(medians.latency);
+        let relative_latency = if options.learn_speed {
+            self.slowness(&upstream.id, load, medians.log_ratio, now)
+        } else {
+            load.relative_latency(medians.latency)
+        };
         let is_cached = preferred.contains(&&upstream.id);
         let work = if is_cached {
             criteria.work - criteria.shared * options.home
@@ -241,7 +360,13 @@
         let failing = (load.failure_rate - medians.failure_rate).max(0.0) * options.failing;
         let slow = (relative_latency - 1.0).max(0.0) * options.slow;
         let draw = criteria::tie_break(criteria.draw, &upstream.id) * options.spread;
-        (pending + work + running) * relative_latency + far + failing + slow + draw
+        let cost = (pending + work + running) * relative_latency;
+        let cost = if options.learn_speed {
+            cost * criteria::random_factor(criteria.draw, &upstream.id, LEARNT_SPREAD)
+        } else {
+            cost
+        };
+        cost + far + failing + slow + draw
     }
 }
 
@@ -265,18 +390,20 @@
     best.into_values().map(|(_, id)| id).collect()
 }
 
-/// Median latency and failure rate of the available upstreams of a pool.
+/// Medians of the available upstreams of a pool.
 struct PoolMedians {
     latency: Option<f64>,
+    log_ratio: f64,
     failure_rate: f64,
 }
 
 impl PoolMedians {
     /// Uses medians, which a few slow or failing upstreams do not distort.
-    fn of<'a>(loads: impl Iterator<Item = &'a Load>) -> Self {
+    fn of<'a>(loads: impl Iterator<Item = &'a Load>, log_ratio: f64) -> Self {
         let loads: Vec<_> = loads.collect();
         Self {
             latency: median(loads.iter().filter_map(|load| load.latency)),
+            log_ratio,
             failure_rate: median(loads.iter().map(|load| load.failure_rate)).unwrap_or_default(),
         }
     }
--- a/crates/cloverpost-core/src/balance/options.rs
+++ b/crates/cloverpost-core/src/balance/options.rs
@@ -33,6 +33,8 @@
     pub ejection_time: Duration,
     /// Maximum duration of an ejection.
     pub max_ejection_time: Duration,
+    /// Whether upstreams are compared by their learnt speeds rather than by their latencies.
+    pub learn_speed: bool,
 }
 
 impl Default for Options {
@@ -50,6 +52,7 @@
             consecutive_failures: 2,
             ejection_time: Duration::from_millis(400),
             max_ejection_time: Duration::from_secs(3),
+            learn_speed: false,
         }
     }
 }
--- a/crates/cloverpost-core/src/balance/peers.rs
+++ b/crates/cloverpost-core/src/balance/peers.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::balance::{Digest, Row};
+use crate::balance::{Digest, Ratios, Row};
 use crate::id;
 use crate::time;
 
@@ -14,6 +14,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct PeerLoads {
     loads: HashMap<id::Upstream, (f64, u32)>,
+    /// Speed samples of other VMs.
+    ratios: HashMap<id::Upstream, Ratios>,
     received: Option<time::Moment>,
 }
 
@@ -33,6 +35,12 @@
             )
         });
         self.loads = loads.collect();
+        let ratios = total.rows.iter().filter_map(|row| {
+            let own_ratios = own.get(&row.upstream).and_then(|own_row| own_row.ratios);
+            let others = row.ratios?.minus(own_ratios.unwrap_or_default());
+            Some((row.upstream.clone(), others))
+        });
+        self.ratios = ratios.collect();
         self.received = Some(now);
     }
 
@@ -51,6 +59,15 @@
         }
         self.loads.get(upstream).copied().unwrap_or_default()
     }
+
+    /// Speed samples of other VMs of `upstream`.
+    #[must_use]
+    pub fn ratios(&self, upstream: &id::Upstream, now: time::Moment) -> Ratios {
+        if self.is_stale(now) {
+            return Ratios::NONE;
+        }
+        self.ratios.get(upstream).copied().unwrap_or_default()
+    }
 }
 
 /// Sums the loads reported by the VMs of a zone.
@@ -75,19 +92,24 @@
     /// Total of the stored reports and `own`.
     #[must_use]
     pub fn total(&self, own: &Digest) -> Digest {
-        let mut total = BTreeMap::<&id::Upstream, (f32, u32)>::new();
+        let mut total = BTreeMap::<&id::Upstream, (f32, u32, Option<Ratios>)>::new();
         let received = self.digests.values().map(|(_, digest)| digest);
         for row in received.chain([own]).flat_map(|digest| &digest.rows) {
             let sum = total.entry(&row.upstream).or_default();
             sum.0 += row.pending;
             sum.1 += row.in_flight;
+            sum.2 = match (sum.2, row.ratios) {
+                (Some(one), Some(other)) => Some(one.plus(other)),
+                (one, other) => one.or(other),
+            };
         }
         let rows = total
             .into_iter()
-            .map(|(upstream, (pending, in_flight))| Row {
+            .map(|(upstream, (pending, in_flight, ratios))| Row {
                 upstream: upstream.clone(),
                 pending,
                 in_flight,
+                ratios,
             });
         Digest {
             rows: rows.collect(),
--- a/crates/cloverpost-core/tests/behaviour/balance/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -1,6 +1,7 @@
 //! Load balancing across upstreams.
 
 mod peers;
+mod speeds;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/cloverpost-core/tests/behaviour/balance/peers.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/peers.rs
@@ -8,6 +8,7 @@
         upstream: upstream.parse().unwrap(),
         pending: *pending,
         in_flight: *in_flight,
+        ratios: None,
     });
     Digest {
         rows: rows.collect(),
--- a/crates/cloverpost-wire/src/frame.rs
+++ b/crates/cloverpost-wire/src/frame.rs
@@ -5,7 +5,7 @@
 use crate::{Error, Message};
 
 /// Protocol version, incremented whenever an existing message changes.
-pub const VERSION: u8 = 5;
+pub const VERSION: u8 = 6;
 /// Maximum body length in bytes, large enough for a full catalogue.
 pub const MAX_BODY_LEN: usize = 1024 * 1024;
 /// Header length in bytes: the version byte and the body length.
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -173,6 +173,10 @@
     let took = shared.clock.now().since(sent);
     slot.release_work();
     slot.record(Event::Began(took));
+    // The time of a failure or of a resumed stream does not go by the prompt.
+    if !is_failure && options.last_event.is_none() {
+        slot.record_speed(took);
+    }
     if slot.was_idle && options.last_event.is_none() {
         let tokens = job.head.prompt_tokens();
         shared
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::Member;
+use cloverpost_core::{directory, time};
 use ractor::ActorRef;
 use tokio::sync::watch;
 
@@ -72,6 +73,7 @@
             let view = self.context.shared.view.load();
             self.context.shared.pool.evict_expired(&view);
             self.context.shared.balancer().retain(&view);
+            self.record_speeds(&view, now);
             self.context.shared.paths().retain(&view);
             self.context.shared.quarantine.prune(now);
             self.context.shared.admission().retain(&view, now);
@@ -88,6 +90,18 @@
         self.advance_rollouts(myself);
     }
 
+    /// Exports the learnt speeds of upstreams, if speeds are learnt.
+    fn record_speeds(&self, view: &directory::View, now: time::Moment) {
+        let mut speeds = Vec::new();
+        for pool in view.pools.values() {
+            let pool: Vec<_> = pool.upstreams.iter().collect();
+            let balancer = self.context.shared.balancer();
+            let learnt = balancer.speeds(&pool, now).into_iter();
+            speeds.extend(learnt.map(|(upstream, speed)| (upstream.clone(), speed)));
+        }
+        self.context.shared.metrics.speeds.set(&speeds);
+    }
+
     pub(super) fn advance_rollouts(&mut self, myself: &ActorRef<Command>) {
         if self.writes.are_in_flight() || self.failed_topics.contains_key(&Topic::Operators) {
             return;
--- a/crates/cloverpost/src/gateway/loads.rs
+++ b/crates/cloverpost/src/gateway/loads.rs
@@ -37,7 +37,7 @@
         let now = shared.clock.now();
         let ranked = members.ranked(&own.zone);
         let others: Vec<_> = ranked.iter().filter(|member| member.vm != own.vm).collect();
-        let digest = shared.balancer().digest();
+        let digest = shared.balancer().digest(now);
         if self.aggregator.has_reports(now) {
             let total = self.aggregator.total(&digest);
             shared.balancer().set_peer_loads(&total, &digest, now);
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod pushback;
 mod rate_limits;
+mod speeds;
 
 use std::sync::Arc;
 
@@ -25,6 +26,7 @@
 pub use peers::Peers;
 pub use pushback::Pushback;
 pub use rate_limits::RateLimits;
+pub use speeds::Speeds;
 
 /// Upper bounds of latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -73,6 +75,8 @@
     pub fragile: Fragile,
     /// Upstreams that asked this VM to send nothing.
     pub pushback: Pushback,
+    /// Learnt speeds of upstreams.
+    pub speeds: Speeds,
     /// Connections opened to upstreams.
     pub connections: IntCounter,
     /// Paths to upstreams.
@@ -176,6 +180,7 @@
             rate_limits: RateLimits::register(&registry),
             fragile: Fragile::register(&registry),
             pushback: Pushback::register(&registry),
+            speeds: Speeds::register(&registry),
             connections: counter(
                 "upstream_connections_total",
                 "connections opened to upstreams",
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -119,7 +119,7 @@
 const BOOL_FORM: &str = "true or false";
 
 /// All setting names.
-const SETTING_NAMES: [&str; 41] = [
+const SETTING_NAMES: [&str; 42] = [
     "vm",
     "zone",
     "caller-addr",
@@ -149,6 +149,7 @@
     "choice-failing",
     "choice-slow",
     "choice-spread",
+    "learn-speed",
     "leave-ms",
     "escalation-size-worth",
     "escalation-rank-part",
@@ -311,6 +312,7 @@
         let failing = self.number("choice-failing", default.failing, 1000.0, WEIGHT_FORM);
         let slow = self.number("choice-slow", default.slow, 1000.0, WEIGHT_FORM);
         let spread = self.number("choice-spread", default.spread, 1000.0, WEIGHT_FORM);
+        let learn_speed = self.bool("learn-speed", default.learn_speed);
         Some(balance::Options {
             home: home?,
             others: others?,
@@ -320,6 +322,7 @@
             failing: failing?,
             slow: slow?,
             spread: spread?,
+            learn_speed: learn_speed?,
             ..default
         })
     }
--- a/crates/cloverpost/src/gateway/slot.rs
+++ b/crates/cloverpost/src/gateway/slot.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use cloverpost_core::balance::{self, Event};
 use cloverpost_core::poison::Profile;
@@ -27,6 +28,8 @@
     restarts: u32,
     /// Estimated seconds of work before the response begins.
     work: f64,
+    /// Seconds to first byte expected on acquisition, if known.
+    expected: Option<f64>,
     is_work_released: AtomicBool,
     /// The request that occupies the slot.
     profile: Profile,
@@ -43,18 +46,21 @@
         profile: Profile,
         work: f64,
     ) -> Self {
-        let (was_idle, restarts) = {
+        let now = shared.clock.now();
+        let (expected, was_idle, restarts) = {
             let mut balancer = shared.balancer();
+            let expected = balancer.expected_seconds(&upstream, work, now);
             let was_idle = balancer.start(&upstream.id, work);
-            (was_idle, balancer.restarts(&upstream.id))
+            (expected, was_idle, balancer.restarts(&upstream.id))
         };
         Self {
-            acquired: shared.clock.now(),
+            acquired: now,
             shared,
             upstream,
             was_idle,
             restarts,
             work,
+            expected,
             is_work_released: AtomicBool::new(false),
             profile,
             has_ended: AtomicBool::new(false),
@@ -104,6 +110,17 @@
         }
     }
 
+    /// Records that the response began `took` after the request was sent, for the upstream's speed.
+    pub fn record_speed(&self, took: Duration) {
+        let Some(expected) = self.expected else {
+            return;
+        };
+        let now = self.shared.clock.now();
+        self.with_balancer(|balancer, id| {
+            balancer.record_speed(id, took.as_secs_f64(), expected, now);
+        });
+    }
+
     /// Whether the upstream still runs the process that the slot was acquired on.
     pub fn is_current(&self) -> bool {
         self.shared.balancer().restarts(&self.upstream.id) == self.restarts
--- a/crates/cloverpost/tests/behaviour/gateway/settings.rs
+++ b/crates/cloverpost/tests/behaviour/gateway/settings.rs
@@ -71,6 +71,23 @@
     assert_eq!(message.lines().count(), named.len(), "{message}");
 }
 
+#[test]
+fn speeds_are_learnt_only_if_set() {
+    // Existing deployments keep their choice of upstreams.
+    let settings: Settings = REQUIRED.parse().unwrap();
+    assert!(!settings.choice.learn_speed);
+    let settings: Settings = format!("{REQUIRED}learn-speed = true\n").parse().unwrap();
+    assert!(settings.choice.learn_speed);
+    let fault = format!("{REQUIRED}learn-speed = 1\n")
+        .parse::<Settings>()
+        .unwrap_err();
+    assert!(
+        fault
+            .to_string()
+            .starts_with("learn-speed: invalid value `1`")
+    );
+}
+
 #[test]
 fn reports_invalid_toml() {
     assert!(
