--- a/crates/cloverpost-core/tests/behaviour/balance/speeds/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/speeds/mod.rs
@@ -10,14 +10,21 @@
 /// Required bound of requests divided by speed, busiest upstream to mean.
 const BUSIEST_BY_SPEED: f64 = 1.15;
 
+/// Seed of the simulation, or another one to repeat the measurements with.
+fn seed() -> u64 {
+    let seed = std::env::var("SPEEDS_SEED").ok();
+    seed.map_or(1, |seed| seed.parse().unwrap())
+}
+
 fn play(rule: Rule, load: f64) -> Outcome {
+    let seed = seed();
     let outcome = simulation::run(Scenario {
         rule,
-        seed: 1,
+        seed,
         load,
         seconds: 255,
     });
-    println!("load {load}, {rule:?}: {outcome}");
+    println!("seed {seed}, load {load}, {rule:?}: {outcome}");
     outcome
 }
 
