feat(cloverpost): impossible speed samples of a peer are logged once

Invalid input has one clear log line. An impossible row that only one VM reports is bounded in the total too; before, it was passed on as it was.

The tests of the gateway were not run again after this change.

--- a/crates/cloverpost-core/src/balance/digest.rs
+++ b/crates/cloverpost-core/src/balance/digest.rs
@@ -11,6 +11,15 @@
     pub rows: Vec<Row>,
 }
 
+impl Digest {
+    /// A row whose speed samples are impossible, if any.
+    #[must_use]
+    pub fn impossible(&self) -> Option<&Row> {
+        let is_possible = |row: &&Row| row.ratios.is_none_or(Ratios::is_possible);
+        self.rows.iter().find(|row| !is_possible(row))
+    }
+}
+
 /// Load of one upstream.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(serde::Serialize, serde::Deserialize)]
--- a/crates/cloverpost-core/src/balance/peers.rs
+++ b/crates/cloverpost-core/src/balance/peers.rs
@@ -100,7 +100,8 @@
             sum.1 += row.in_flight;
             sum.2 = match (sum.2, row.ratios) {
                 (Some(one), Some(other)) => Some(one.plus(other)),
-                (one, other) => one.or(other),
+                // A sum also bounds what one VM reports.
+                (one, other) => one.or(other).map(|ratios| ratios.plus(Ratios::NONE)),
             };
         }
         let rows = total
--- a/crates/cloverpost-core/src/balance/ratios.rs
+++ b/crates/cloverpost-core/src/balance/ratios.rs
@@ -44,6 +44,14 @@
         })
     }
 
+    /// Whether this may be a sum of samples.
+    #[must_use]
+    pub fn is_possible(self) -> bool {
+        // Sums of rounded numbers may pass the bound a little.
+        let bound = self.samples * LOG_BOUND * 1.01 + 0.01;
+        (0.0..=MAX_SAMPLES).contains(&self.samples) && self.log_sum.abs() <= bound
+    }
+
     /// Sum of both.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
--- a/crates/cloverpost-core/tests/behaviour/balance/speeds/values.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/speeds/values.rs
@@ -195,6 +195,8 @@
         let mut aggregator = Aggregator::default();
         aggregator.insert("vm-1".parse().unwrap(), digest(total), now);
         let summed = aggregator.total(&balancer.digest(now));
+        // What a VM adds up is possible, whatever it was told.
+        prop_assert!(summed.impossible().is_none(), "{summed:?}");
         for total in [&summed, &digest(total)] {
             balancer.set_peer_loads(total, &digest(own), now);
             let speeds = speeds(&balancer, now);
--- a/crates/cloverpost/src/gateway/loads.rs
+++ b/crates/cloverpost/src/gateway/loads.rs
@@ -3,6 +3,8 @@
 //! Each VM reports its loads to one aggregator of its zone, which replies with the sum.
 //! Broadcasting would need a number of messages quadratic in the number of VMs.
 
+use std::collections::BTreeSet;
+
 use cloverpost_core::balance::{Aggregator, Digest, Message};
 use cloverpost_core::directory::{Member, Table};
 use cloverpost_core::id;
@@ -19,6 +21,8 @@
     aggregator: Aggregator,
     /// Digest that was last reported or included in a total.
     last_reported: Digest,
+    /// VMs whose last message had impossible speed samples.
+    faulty: BTreeSet<id::Vm>,
     /// Consecutive rounds without a total from the aggregator.
     rounds_without_reply: usize,
 }
@@ -60,6 +64,7 @@
     /// Handles a message from another VM.
     pub fn handle_message<C: Codec>(&mut self, shared: &Shared<C>, from: id::Vm, message: Message) {
         let now = shared.clock.now();
+        self.check_samples(&from, &message);
         match message {
             Message::Own(digest) => self.aggregator.insert(from, digest, now),
             Message::Total(total) => {
@@ -70,4 +75,18 @@
             }
         }
     }
+    /// Logs the first of a VM's messages with impossible speed samples.
+    fn check_samples(&mut self, from: &id::Vm, message: &Message) {
+        let (Message::Own(digest) | Message::Total(digest)) = message;
+        let Some(row) = digest.impossible() else {
+            self.faulty.remove(from);
+            return;
+        };
+        if self.faulty.insert(from.clone()) {
+            log::warn!(
+                peer = from.as_str(), upstream = row.upstream.as_str(), samples:? = row.ratios;
+                "a peer's speed samples are impossible and are bounded or ignored"
+            );
+        }
+    }
 }
