--- a/crates/cloverpost/src/gateway/path.rs
+++ b/crates/cloverpost/src/gateway/path.rs
@@ -339,10 +339,10 @@
 async fn check_loss<C: Codec>(shared: &Arc<Shared<C>>, upstream: &directory::Upstream) -> Loss {
     let is_broken = shared.paths().is_broken(&upstream.id);
     if !is_broken {
-        let Some(permit) = permit_for_check(shared, upstream).await else {
-            // A process that ends closes all of its connections, and others have stayed open.
-            return Loss::Connection;
-        };
+        // A check that did not connect would take a crash for the loss of one connection, and requests
+        // that crash upstreams would not be stopped.
+        let permit = permit_for_check(shared, upstream).await;
+        let permit = permit.unwrap_or_else(|| shared.pool.connections().count(&upstream.id));
         match connect_direct(shared, upstream, permit).await {
             Ok(connection) => {
                 put_back_new(shared, upstream, connection).await;
