--- a/review/kit/client.rs
+++ b/review/kit/client.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http;
-use crate::site::{HOST, KEY};
+use crate::site::HOST;
 
 /// A request as a client sends it.
 #[derive(Clone, Debug)]
@@ -13,6 +13,7 @@
     pub id: String,
     pub path: String,
     pub deadline_ms: u64,
+    pub key: &'static str,
     /// Further headers, each with its end of line.
     pub headers: String,
     pub body: String,
@@ -47,27 +48,35 @@
 }
 
 fn exchange(address: &str, request: &Request, answer: &mut Answer) -> io::Result<()> {
-    let mut stream = TcpStream::connect(address)?;
+    let stream = TcpStream::connect(address)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(Duration::from_millis(request.deadline_ms)))?;
+    let mut reader = BufReader::new(stream);
+    exchange_on(&mut reader, request, answer)
+}
+
+/// Sends `request` on an open connection and reads the answer.
+pub fn exchange_on(
+    reader: &mut BufReader<TcpStream>,
+    request: &Request,
+    answer: &mut Answer,
+) -> io::Result<()> {
     let head = format!(
         "POST {} HTTP/1.1\r\nHost: {HOST}\r\nCloverpost-Attempt-Id: {}\r\nCloverpost-Deadline-Ms: {}\r\n\
-         Authorization: Token {KEY}\r\n{}Content-Length: {}\r\n\r\n{}",
+         Authorization: Token {}\r\n{}Content-Length: {}\r\n\r\n{}",
         request.path,
         request.id,
         request.deadline_ms,
+        request.key,
         request.headers,
         request.body.len(),
         request.body
     );
-    stream.write_all(head.as_bytes())?;
-    let mut reader = BufReader::new(stream);
-    let response = http::read_head(&mut reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    reader.get_mut().write_all(head.as_bytes())?;
+    let response = http::read_head(reader)?.ok_or(io::ErrorKind::UnexpectedEof)?;
     answer.status = response.status();
-    answer.stamp = response
-        .header("cloverpost-server-stamp")
-        .unwrap_or_default()
-        .to_owned();
+    let stamp = response.header("cloverpost-server-stamp");
+    stamp.unwrap_or_default().clone_into(&mut answer.stamp);
     let length = response
         .header("content-length")
         .and_then(|text| text.parse::<usize>().ok());
--- a/review/kit/doubt.rs
+++ b/review/kit/doubt.rs
@@ -51,6 +51,7 @@
         id: format!("{:016x}", 0x5eed_0000 + number),
         path: "/brief/summary".to_owned(),
         deadline_ms: 15_000,
+        key: KEY,
         headers: format!(
             "Cloverpost-Model: *\r\nCloverpost-Token-Count: 2000,200\r\n\
              Cloverpost-Prefix-Hash: 5c1e07a2:1200,{:x}:800\r\n",
--- a/review/kit/http.rs
+++ b/review/kit/http.rs
@@ -58,16 +58,9 @@
         let escaped = (bytes[index] == b'%')
             .then(|| text.get(index + 1..index + 3))
             .flatten();
-        match escaped.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
-            Some(byte) => {
-                result.push(byte);
-                index += 3;
-            }
-            None => {
-                result.push(bytes[index]);
-                index += 1;
-            }
-        }
+        let escaped = escaped.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        result.push(escaped.unwrap_or(bytes[index]));
+        index += if escaped.is_some() { 3 } else { 1 };
     }
     String::from_utf8_lossy(&result).into_owned()
 }
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -5,10 +5,12 @@
 mod http;
 mod json;
 mod load;
+mod names;
 mod replica;
 mod site;
 mod store;
 mod unframed;
+mod uploads;
 
 use std::io;
 use std::path::Path;
@@ -39,6 +41,8 @@
             confidence,
         ] => {
             let number = |text: &str| text.parse().unwrap_or_default();
+            let millis = |text: &str| Duration::from_millis(text.parse().unwrap_or_default());
+            let (first_ms, gap_ms) = gap_ms.split_once('+').unwrap_or((gap_ms, gap_ms));
             let options = replica::Options {
                 address: address.to_owned(),
                 id: id.to_owned(),
@@ -46,7 +50,8 @@
                 zone: zone.to_owned(),
                 store: store.to_owned(),
                 events: number(events),
-                gap: Duration::from_millis(gap_ms.parse().unwrap_or_default()),
+                first: millis(first_ms),
+                gap: millis(gap_ms),
                 is_unframed: framing == "unframed",
                 confidence: confidence.parse().unwrap_or_default(),
             };
@@ -57,6 +62,8 @@
             match name {
                 "unframed" => unframed::play(directory, trouble != "0"),
                 "doubt" => doubt::play(directory, trouble != "0"),
+                "names" => names::play(directory, trouble != "0"),
+                "uploads" => uploads::play(directory, trouble != "0"),
                 _ => Err(io::ErrorKind::InvalidInput.into()),
             }
         }
--- a/review/kit/replica.rs
+++ b/review/kit/replica.rs
@@ -24,7 +24,9 @@
     pub store: String,
     /// Number of events of a stream.
     pub events: usize,
-    /// Time between two events, or until a plain answer.
+    /// Time until the first event.
+    pub first: Duration,
+    /// Time between two events.
     pub gap: Duration,
     /// Whether answers have neither a length nor chunks, and end with their connection.
     pub is_unframed: bool,
@@ -141,7 +143,7 @@
             "HTTP/1.1 200 OK\r\nCloverpost-Attempt-Id: {id}\r\nCloverpost-Server-Stamp: {stamp}\r\n\
              Cloverpost-Confidence: {confidence}\r\nContent-Type: text/event-stream\r\n{framing}\r\n"
         );
-        thread::sleep(options.gap);
+        thread::sleep(options.first);
         stream.write_all(head.as_bytes())?;
         for event in last + 1..=options.events {
             let text = format!(
--- a/review/kit/site.rs
+++ b/review/kit/site.rs
@@ -56,7 +56,8 @@
 
 /// An entry VM.
 pub struct Vm {
-    _process: Process,
+    pub process: Process,
+    settings: PathBuf,
     pub caller_addr: String,
     pub operator_addr: String,
 }
@@ -98,6 +99,34 @@
     Ok(command)
 }
 
+/// Starts the router as the deploy file says.
+fn start_router(name: &str, settings: &Path, directory: &Path) -> io::Result<Process> {
+    let mut command = Command::new(RUN[0]);
+    command
+        .args(&RUN[1..])
+        .env("CLOVERPOST_CONFIG", settings)
+        .env(PEER_KEY.0, PEER_KEY.1);
+    Process::start(name, command, directory)
+}
+
+fn metric_of(vm: &Vm, name: &str) -> Option<usize> {
+    let response = http::call(&vm.operator_addr, "GET", "/metrics", b"").ok()?;
+    let text = String::from_utf8_lossy(&response.body).into_owned();
+    let line = { text.lines() }.find(|line| line.starts_with(name))?;
+    line.split(' ').next_back()?.parse().ok()
+}
+
+fn wait(what: &str, check: impl Fn() -> bool) -> io::Result<()> {
+    let started = Instant::now();
+    while !check() {
+        if started.elapsed() > Duration::from_secs(20) {
+            return Err(io::Error::other(format!("not ready in time: {what}")));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
+
 impl Site {
     /// Starts the store with `configuration`.
     pub fn start(directory: &Path, configuration: &str) -> io::Result<Self> {
@@ -110,7 +139,7 @@
             replicas: Vec::new(),
             _store: process,
         };
-        site.wait("the store", || site.configure(configuration).is_ok())?;
+        wait("the store", || site.configure(configuration).is_ok())?;
         Ok(site)
     }
 
@@ -155,55 +184,38 @@
         );
         let file = self.directory.join(format!("{name}.toml"));
         fs::write(&file, settings)?;
-        let mut command = Command::new(RUN[0]);
-        command
-            .args(&RUN[1..])
-            .env("CLOVERPOST_CONFIG", file)
-            .env(PEER_KEY.0, PEER_KEY.1);
-        let process = Process::start(name, command, &self.directory)?;
+        let process = start_router(name, &file, &self.directory)?;
         self.vms.push(Vm {
-            _process: process,
+            process,
+            settings: file,
             caller_addr,
             operator_addr,
         });
         Ok(())
     }
 
+    /// Starts the process of a VM again, with the settings in effect.
+    pub fn restart_vm(&mut self, number: usize, name: &str) -> io::Result<()> {
+        let vm = &mut self.vms[number];
+        vm.process = start_router(name, &vm.settings, &self.directory)?;
+        Ok(())
+    }
+
     /// Waits until all VMs are ready and know all replicas and each other.
     pub fn wait_until_ready(&self) -> io::Result<()> {
         let replicas = self.replicas.len();
         for vm in &self.vms {
-            let metric = |name: &str| self.metric(vm, name).unwrap_or_default();
-            self.wait("the VMs", || {
+            let metric = |name: &str| metric_of(vm, name);
+            wait("the VMs", || {
                 let ready = http::call(&vm.operator_addr, "GET", "/api/readyz", b"");
                 ready.is_ok_and(|one| one.status() == 200)
-                    && metric("cloverpost_upstreams") as usize == replicas
-                    && metric("cloverpost_fleet_vms") as usize == self.vms.len()
+                    && metric("cloverpost_upstreams") == Some(replicas)
+                    && metric("cloverpost_fleet_vms") == Some(self.vms.len())
             })?;
         }
         Ok(())
     }
 
-    fn metric(&self, vm: &Vm, name: &str) -> Option<f64> {
-        let response = http::call(&vm.operator_addr, "GET", "/metrics", b"").ok()?;
-        let text = String::from_utf8_lossy(&response.body).into_owned();
-        let line = text
-            .lines()
-            .find(|line| line.starts_with(name) && !line.starts_with('#'))?;
-        line.split(' ').next_back()?.parse().ok()
-    }
-
-    fn wait(&self, what: &str, check: impl Fn() -> bool) -> io::Result<()> {
-        let started = Instant::now();
-        while !check() {
-            if started.elapsed() > Duration::from_secs(20) {
-                return Err(io::Error::other(format!("not ready in time: {what}")));
-            }
-            thread::sleep(Duration::from_millis(50));
-        }
-        Ok(())
-    }
-
     /// Lines that the replicas have recorded, in order of time.
     pub fn replica_records(&self) -> Vec<String> {
         let read =
--- a/review/kit/store.rs
+++ b/review/kit/store.rs
@@ -19,12 +19,14 @@
 const CALL_TIME: Duration = Duration::from_millis(4);
 
 type Key = (String, String);
+/// Version and value of a row; a removed row has no value.
+type Row = (u64, Option<Vec<u8>>);
 
 #[derive(Default)]
 struct Tables {
     version: u64,
     /// Versions and values; removed rows have none.
-    rows: BTreeMap<Key, (u64, Option<Vec<u8>>)>,
+    rows: BTreeMap<Key, Row>,
     /// When replicas last wrote their entries.
     beats: BTreeMap<String, Instant>,
 }
@@ -165,13 +167,7 @@
         }
     }
 
-    fn page(
-        &self,
-        tables: &Tables,
-        table: &str,
-        rows: &[(&str, &(u64, Option<Vec<u8>>))],
-        has_more: bool,
-    ) -> String {
+    fn page(&self, tables: &Tables, table: &str, rows: &[(&str, &Row)], has_more: bool) -> String {
         let rows = rows.iter().map(|(key, (version, value))| {
             let encoded = json::encode_base64(value.as_deref().unwrap_or_default());
             let deleted = value.is_none();
@@ -211,7 +207,7 @@
                 .get(&row_key(row))
                 .filter(|(_, value)| value.is_some());
             let version = current.map_or(0, |(version, _)| *version);
-            if version as f64 != row.get("row_version").number() {
+            if version.to_string() != row.get("row_version").number().to_string() {
                 return (412, self.page(&tables, "", &[], false));
             }
         }
@@ -235,10 +231,7 @@
         self.rows.insert(key, (self.version, value));
     }
 
-    fn of<'a>(
-        &'a self,
-        table: &'a str,
-    ) -> impl Iterator<Item = (&'a str, &'a (u64, Option<Vec<u8>>))> {
+    fn of<'a>(&'a self, table: &'a str) -> impl Iterator<Item = (&'a str, &'a Row)> {
         let rows = self.rows.iter().filter(move |((name, _), _)| name == table);
         rows.map(|((_, key), row)| (key.as_str(), row))
     }
--- a/review/kit/unframed.rs
+++ b/review/kit/unframed.rs
@@ -9,7 +9,7 @@
 
 use crate::Verdict;
 use crate::client::{self, Request};
-use crate::load;
+use crate::load::{self, Exchange};
 use crate::site::{HOST, KEY, Site};
 
 const ZONES: [&str; 6] = ["nv-a", "nv-a", "nv-b", "nv-b", "nv-c", "nv-d"];
@@ -39,62 +39,39 @@
     )
 }
 
-pub fn play(directory: &Path, has_trouble: bool) -> io::Result<Verdict> {
-    let mut site = Site::start(directory, &configuration())?;
-    let events = EVENTS.to_string();
-    for number in 0..REPLICAS {
-        let name = format!("i-{number}");
-        let options = [&*events, "25", "unframed", "95"];
-        site.add_replica(&name, "brief-llm", REPLICA_ZONES[number % 4], &options)?;
-    }
-    for (number, zone) in ZONES.iter().enumerate() {
-        site.add_vm(&format!("edge-{number}"), zone)?;
-    }
-    site.wait_until_ready()?;
-    let addresses: Vec<_> = site.vms.iter().map(|vm| vm.caller_addr.clone()).collect();
-    let clients = thread::spawn(move || {
-        load::play(&addresses, RATE, SPAN, |number| Request {
-            id: format!("{:016x}", 0x5eed_0000 + number),
-            path: "/brief/summary".to_owned(),
-            deadline_ms: 15_000,
-            headers: String::new(),
-            body: format!("bundle {number}"),
-        })
-    });
-    thread::sleep(KILL_AFTER);
-    let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let killed_ms = now.unwrap_or_default().as_millis();
-    if has_trouble {
-        for number in CRASHING {
-            site.replicas[number].kill();
-        }
-    }
-    let exchanges = clients.join().expect("the clients do not panic");
-    let mut text = String::new();
-    let _ = writeln!(
-        text,
-        "trouble: {has_trouble}; replicas {CRASHING:?} killed at {killed_ms} if there is trouble"
-    );
-    let (mut complete, mut cut, mut refused, mut broken) = (0, 0, 0, 0);
-    for (request, vm, answer) in &exchanges {
+/// Numbers of answers by what the client sees of them.
+#[derive(Default)]
+struct Counts {
+    complete: usize,
+    /// Broken off, and shown as such.
+    cut: usize,
+    refused: usize,
+    /// Not whole, and shown as complete.
+    broken: usize,
+}
+
+/// Writes what was answered.
+fn judge(text: &mut String, exchanges: &[Exchange]) -> Counts {
+    let mut counts = Counts::default();
+    for (request, vm, answer) in exchanges {
         let ids = client::event_ids(&answer.body);
         let is_whole = ids.iter().copied().eq(1..=EVENTS);
         let is_success = answer.status == 200;
         let verdict = match (is_success, answer.is_complete, is_whole) {
             (true, true, true) => {
-                complete += 1;
+                counts.complete += 1;
                 "whole"
             }
             (true, true, false) => {
-                broken += 1;
+                counts.broken += 1;
                 "BROKEN: ends as complete before its last piece"
             }
             (true, false, _) => {
-                cut += 1;
+                counts.cut += 1;
                 "broken off, and shown as such"
             }
             (false, ..) => {
-                refused += 1;
+                counts.refused += 1;
                 "no success"
             }
         };
@@ -119,23 +96,68 @@
             answer.took.as_millis()
         );
     }
+    counts
+}
+
+pub fn play(directory: &Path, has_trouble: bool) -> io::Result<Verdict> {
+    let mut site = Site::start(directory, &configuration())?;
+    let events = EVENTS.to_string();
+    for number in 0..REPLICAS {
+        let name = format!("i-{number}");
+        let options = [&*events, "25", "unframed", "95"];
+        site.add_replica(&name, "brief-llm", REPLICA_ZONES[number % 4], &options)?;
+    }
+    for (number, zone) in ZONES.iter().enumerate() {
+        site.add_vm(&format!("edge-{number}"), zone)?;
+    }
+    site.wait_until_ready()?;
+    let addresses: Vec<_> = site.vms.iter().map(|vm| vm.caller_addr.clone()).collect();
+    let clients = thread::spawn(move || {
+        load::play(&addresses, RATE, SPAN, |number| Request {
+            id: format!("{:016x}", 0x5eed_0000 + number),
+            path: "/brief/summary".to_owned(),
+            deadline_ms: 15_000,
+            key: KEY,
+            headers: String::new(),
+            body: format!("bundle {number}"),
+        })
+    });
+    thread::sleep(KILL_AFTER);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let killed_ms = now.unwrap_or_default().as_millis();
+    if has_trouble {
+        for number in CRASHING {
+            site.replicas[number].kill();
+        }
+    }
+    let exchanges = clients.join().expect("the clients do not panic");
+    let mut text = String::new();
+    let _ = writeln!(
+        text,
+        "trouble: {has_trouble}; replicas {CRASHING:?} killed at {killed_ms} if there is trouble"
+    );
+    let counts = judge(&mut text, &exchanges);
     let _ = writeln!(text, "\nwhat the replicas ran:");
     for line in site.replica_records() {
         let _ = writeln!(text, "{line}");
     }
     let summary = format!(
-        "{} requests: {complete} whole, {cut} broken off and shown as such, {refused} without success, \
-         {broken} that end as complete before their last piece",
-        exchanges.len()
+        "{} requests: {} whole, {} broken off and shown as such, {} without success, {} that end as complete before \
+         their last piece",
+        exchanges.len(),
+        counts.complete,
+        counts.cut,
+        counts.refused,
+        counts.broken
     );
     println!("{summary}");
     fs::write(directory.join("record.txt"), format!("{summary}\n{text}"))?;
-    if complete * 2 < exchanges.len() {
+    if counts.complete * 2 < exchanges.len() {
         return Err(io::Error::other(
             "fewer than half of the streams were served",
         ));
     }
-    Ok(if broken > 0 {
+    Ok(if counts.broken > 0 {
         Verdict::Broken
     } else {
         Verdict::Held
