--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,9 +3,14 @@
 # the disruption. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 directory=$(mktemp -d) || exit 2
-trap 'rm -rf "$directory"' EXIT
 rm -f review/2/record.txt
-target/review/standin scenario doubt "$directory" "${TROUBLE:-1}"
+# The scenario and all processes that it starts are one group.
+set -m
+target/review/standin scenario uploads "$directory" "${TROUBLE:-1}" &
+scenario=$!
+trap 'kill -KILL -- -"$scenario" 2>/dev/null; rm -rf "$directory"' EXIT
+trap 'exit 2' INT TERM
+wait "$scenario"
 status=$?
 cp "$directory/record.txt" review/2/record.txt || exit 2
 [ "$status" -le 1 ] || exit 2
