--- a/review/kit/site.rs
+++ b/review/kit/site.rs
@@ -197,6 +197,12 @@
     /// Starts the process of a VM again, with the settings in effect.
     pub fn restart_vm(&mut self, number: usize, name: &str) -> io::Result<()> {
         let vm = &mut self.vms[number];
+        // The site starts for the first time only once.
+        let settings = fs::read_to_string(&vm.settings)?;
+        fs::write(
+            &vm.settings,
+            settings.replace("new-site = true", "new-site = false"),
+        )?;
         vm.process = start_router(name, &vm.settings, &self.directory)?;
         Ok(())
     }
--- a/review/kit/unframed.rs
+++ b/review/kit/unframed.rs
@@ -21,7 +21,7 @@
 /// Events of each stream.
 const EVENTS: usize = 20;
 /// Streams a second.
-const RATE: u32 = 200;
+const RATE: u32 = 160;
 const SPAN: Duration = Duration::from_secs(10);
 /// When the replicas are killed, after the first request.
 const KILL_AFTER: Duration = Duration::from_secs(5);
--- a/review/kit/uploads.rs
+++ b/review/kit/uploads.rs
@@ -23,7 +23,7 @@
 /// Events of each stream: the first after 1 s, the others 28 ms apart.
 const EVENTS: usize = 42;
 /// Streams a second from the clients of each of the two zones.
-const RATE: u128 = 8;
+const RATE: u128 = 9;
 const SPAN: Duration = Duration::from_secs(14);
 /// The burst: when, how long, and how many times the traffic.
 const BURST_AT: Duration = Duration::from_secs(6);
