fix(cloverpost): connections of callers are bounded in number and memory

Callers saw the process end, or their requests fail: beside 6,000 connections without a byte it took 101 MB of the 88 MB of the smallest VMs, with heads of 15 kB that stop 89 MB (3,000 clients), with slow heads 102 MB; 73, 100 and 98 of some 300 ordinary requests were served. 600 callers that do not read responses of 1 MiB keep others out in the same way once connections are bounded but cannot be closed.

Cause: nothing counted connections or what they hold. An idle one took some 35 KiB: hyper reserves memory for the future of the service as a connection begins, and its buffers.

Change: `core::clients::Register` counts the connections and their memory. At a limit it closes those first that have been in their stage for longest, so a caller that sends at once is not among them; callers that have been served count as 5 s younger, and requests that run are not cut. The memory of a connection is taken with its first byte. A head has the configuration's time for heads, counted in intervals in which the process runs. Refused requests let other connections take a turn.

--- /dev/null
+++ b/crates/cloverpost-core/src/clients/register.rs
@@ -0,0 +1,194 @@
+//! The connections and what they hold.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::clients::{Connection, Limits, Stage};
+
+/// What follows a change of a connection.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// The connections that are closed to make room, without the changed one.
+    pub closed: Vec<Connection>,
+    /// Whether the changed connection is kept. It is removed otherwise.
+    pub is_kept: bool,
+}
+
+/// The connections and what they hold.
+#[derive(Clone, Debug)]
+pub struct Register {
+    limits: Limits,
+    next: Connection,
+    connections: BTreeMap<Connection, Holding>,
+    /// The connections that may be closed, in that order.
+    victims: BTreeSet<Rank>,
+    bytes: u64,
+    /// Number of changes of stages.
+    changes: u64,
+    ticks: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Holding {
+    stage: Stage,
+    bytes: u64,
+    /// Orders the connections of a stage.
+    change: u64,
+    since: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// When the connection entered its stage, in ticks, and the grace of the stage.
+    age: u64,
+    change: u64,
+    connection: Connection,
+}
+
+impl Register {
+    /// Creates an empty register.
+    #[must_use]
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            limits,
+            next: Connection::default(),
+            connections: BTreeMap::new(),
+            victims: BTreeSet::new(),
+            bytes: 0,
+            changes: 0,
+            ticks: 0,
+        }
+    }
+
+    /// Number of connections.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Whether there is no connection.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.connections.is_empty()
+    }
+
+    /// Memory of all connections, in bytes.
+    #[must_use]
+    pub const fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Adds a connection that holds `bytes`.
+    pub fn open(&mut self, bytes: u64) -> (Connection, Outcome) {
+        let connection = self.next;
+        self.next = connection.next();
+        let mut closed = Vec::new();
+        while self.connections.len() >= self.limits.connections {
+            let Some(first) = self.close_first() else {
+                let is_kept = false;
+                return (connection, Outcome { closed, is_kept });
+            };
+            closed.push(first);
+        }
+        let holding = Holding {
+            stage: Stage::New,
+            bytes,
+            change: self.next_change(),
+            since: self.ticks,
+        };
+        self.insert(connection, holding);
+        (connection, self.make_room(connection, closed))
+    }
+
+    /// Records that `connection` is in `stage` and holds `bytes`. A connection that has been closed
+    /// is not kept.
+    pub fn set(&mut self, connection: Connection, stage: Stage, bytes: u64) -> Outcome {
+        let Some(mut holding) = self.remove(connection) else {
+            return Outcome::default();
+        };
+        if holding.stage != stage {
+            holding.stage = stage;
+            holding.since = self.ticks;
+            holding.change = self.next_change();
+        }
+        holding.bytes = bytes;
+        self.insert(connection, holding);
+        self.make_room(connection, Vec::new())
+    }
+
+    /// Removes a connection that has ended.
+    pub fn close(&mut self, connection: Connection) {
+        self.remove(connection);
+    }
+
+    /// Counts an interval of time and closes the connections that have been in a stage
+    /// for more intervals than `limit` allows. Intervals of a suspended process are not counted, since
+    /// what arrived meanwhile is not read yet.
+    pub fn tick(&mut self, limit: impl Fn(Stage) -> Option<u64>) -> Vec<Connection> {
+        self.ticks += 1;
+        let now = self.ticks;
+        let is_late = |holding: &Holding| {
+            let limit = limit(holding.stage);
+            limit.is_some_and(|limit| now - holding.since > limit)
+        };
+        let late = self.connections.iter();
+        let late = late.filter(|(_, holding)| is_late(holding));
+        let late: Vec<_> = late.map(|(connection, _)| *connection).collect();
+        for connection in &late {
+            self.remove(*connection);
+        }
+        late
+    }
+
+    /// Closes connections until the limit of memory is kept: `connection` itself only if it is the
+    /// first in order, or if no other can be closed.
+    fn make_room(&mut self, connection: Connection, mut closed: Vec<Connection>) -> Outcome {
+        while self.bytes > self.limits.bytes {
+            match self.close_first() {
+                Some(first) if first != connection => closed.push(first),
+                _ => {
+                    self.remove(connection);
+                    let is_kept = false;
+                    return Outcome { closed, is_kept };
+                }
+            }
+        }
+        let is_kept = true;
+        Outcome { closed, is_kept }
+    }
+
+    const fn next_change(&mut self) -> u64 {
+        self.changes += 1;
+        self.changes
+    }
+
+    fn close_first(&mut self) -> Option<Connection> {
+        let first = self.victims.first()?.connection;
+        self.remove(first);
+        Some(first)
+    }
+
+    fn insert(&mut self, connection: Connection, holding: Holding) {
+        if holding.stage.may_close() {
+            self.victims.insert(holding.rank(connection));
+        }
+        self.bytes += holding.bytes;
+        self.connections.insert(connection, holding);
+    }
+
+    fn remove(&mut self, connection: Connection) -> Option<Holding> {
+        let holding = self.connections.remove(&connection)?;
+        self.victims.remove(&holding.rank(connection));
+        self.bytes -= holding.bytes;
+        Some(holding)
+    }
+}
+
+impl Holding {
+    const fn rank(&self, connection: Connection) -> Rank {
+        Rank {
+            age: self.since + self.stage.grace(),
+            change: self.change,
+            connection,
+        }
+    }
+}
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod catalogue;
 pub mod choice;
 pub mod claim;
+pub mod clients;
 pub mod cold;
 pub mod connections;
 mod count;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -8,6 +8,7 @@
 mod catalogue;
 mod choice;
 mod claim;
+mod clients;
 mod cold;
 mod connections;
 mod directory;
--- a/crates/cloverpost/src/gateway/buffers.rs
+++ b/crates/cloverpost/src/gateway/buffers.rs
@@ -2,39 +2,86 @@
 //!
 //! An upstream may send megabytes at once and a caller may not read them. Each response may buffer
 //! [`UNRESERVED_BYTES`]. What needs more reserves all that it may need first, and waits while others
-//! hold the memory. Since nothing holds a part of what it needs, no two wait for each other.
+//! hold the memory. Since nothing holds a part of what it needs, no two wait for each other. Requests
+//! have memory of their own, since a request holds its body while it waits for its response.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 /// Bytes that each response may buffer without a reservation.
 pub const UNRESERVED_BYTES: usize = 16 * 1024;
-/// Bytes that all reservations may have together: two of the largest responses, a fifth of the
-/// memory of the smallest VMs.
-const TOTAL_BYTES: usize = 16 * 1024 * 1024;
+/// Memory of two of the largest responses.
+const DEFAULT_BYTES: u64 = 16 * 1024 * 1024;
 /// Unit of reservations.
 const UNIT_BYTES: usize = 1024;
 
-/// Memory that responses may reserve.
+/// Memory that may be reserved.
 #[derive(Clone, Debug)]
-pub struct Buffers(Arc<Semaphore>);
+pub struct Buffers {
+    free: Arc<Semaphore>,
+    units: u32,
+    waiting: Arc<AtomicUsize>,
+}
 
 impl Default for Buffers {
+    /// Memory for two of the largest responses.
     fn default() -> Self {
-        Self(Arc::new(Semaphore::new(TOTAL_BYTES / UNIT_BYTES)))
+        Self::new(DEFAULT_BYTES)
     }
 }
 
 impl Buffers {
+    /// Creates `bytes` of free memory.
+    #[must_use]
+    pub fn new(bytes: u64) -> Self {
+        let units = units(usize::try_from(bytes).unwrap_or(usize::MAX));
+        Self {
+            free: Arc::new(Semaphore::new(units as usize)),
+            units,
+            waiting: Arc::default(),
+        }
+    }
+
     /// Waits until `bytes` are free, in order of the calls, and reserves them. More than there are
     /// in all count as all.
     pub async fn reserve(&self, bytes: usize) -> Reservation {
-        let units = units(bytes.min(TOTAL_BYTES));
-        let permit = self.0.clone().acquire_many_owned(units).await;
+        let _waiting = Waiting::new(&self.waiting);
+        let units = units(bytes).min(self.units);
+        let permit = self.free.clone().acquire_many_owned(units).await;
         Reservation(permit.ok())
     }
+
+    /// Reserves `bytes` if they are free.
+    #[must_use]
+    pub fn try_reserve(&self, bytes: usize) -> Option<Reservation> {
+        let permit = self.free.clone().try_acquire_many_owned(units(bytes));
+        permit.ok().map(|permit| Reservation(Some(permit)))
+    }
+
+    /// Whether a reservation waits for others.
+    #[must_use]
+    pub fn is_contended(&self) -> bool {
+        self.waiting.load(Ordering::Relaxed) > 0
+    }
+}
+
+/// Counts a reservation that waits until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::Relaxed);
+        Self(count)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 /// Reserved memory, which is free again when this is dropped.
--- a/crates/cloverpost/src/gateway/caller_stream.rs
+++ b/crates/cloverpost/src/gateway/caller_stream.rs
@@ -1,4 +1,5 @@
-//! Connections of callers, which are closed if a caller does not read its response.
+//! Connections of callers, which are closed if a caller does not read its response, and which tell
+//! their [`Client`] what arrives.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,6 +14,9 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 
+use crate::gateway::clients::Client;
+use crate::socket;
+
 /// Time after which a caller that takes none of the bytes that are ready is disconnected. The
 /// kernel does so sooner, by `TCP_USER_TIMEOUT`, if the caller's window stays closed.
 const UNREAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -61,6 +65,9 @@
     /// Kept since the kernel forgets it with the connection.
     peer: Option<SocketAddr>,
     limit: Limit,
+    client: Arc<Client>,
+    /// Maximum size of a head, in bytes.
+    head_bytes: usize,
     disconnects: IntCounterVec,
     /// Set while bytes wait for the caller, until the time at which it is disconnected.
     blocked: Option<Pin<Box<Sleep>>>,
@@ -68,13 +75,21 @@
 }
 
 impl CallerStream {
-    /// Wraps `stream`; `disconnects` counts by reason.
+    /// Wraps `stream` of `client`, whose heads have at most `head_bytes`; `disconnects` counts by reason.
     #[must_use]
-    pub fn new(stream: TcpStream, limit: Limit, disconnects: IntCounterVec) -> Self {
+    pub fn new(
+        stream: TcpStream,
+        limit: Limit,
+        client: Arc<Client>,
+        head_bytes: usize,
+        disconnects: IntCounterVec,
+    ) -> Self {
         Self {
             peer: stream.peer_addr().ok(),
             stream,
             limit,
+            client,
+            head_bytes,
             disconnects,
             blocked: None,
             is_disconnected: false,
@@ -120,23 +135,44 @@
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         match &written {
-            Poll::Ready(Ok(_)) => self.blocked = None,
+            Poll::Ready(Ok(_)) => {
+                self.blocked = None;
+                self.client.set_blocked(false);
+            }
             Poll::Ready(Err(error)) => self.record_error(error),
+            Poll::Pending if !self.client.set_blocked(true) => {
+                return Poll::Ready(Err(closed_for_others()));
+            }
             Poll::Pending => return self.poll_blocked(cx).map(Err),
         }
         written
     }
 }
 
+/// The error of a connection that is closed for others.
+fn closed_for_others() -> io::Error {
+    io::ErrorKind::ConnectionAborted.into()
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.client.take_window_request() {
+            socket::limit_receive_buffer(&self.stream);
+        }
+        let before = buf.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if let Poll::Ready(Err(error)) = &read {
-            self.record_error(error);
+        match &read {
+            Poll::Ready(Err(error)) => self.record_error(error),
+            Poll::Ready(Ok(()))
+                if buf.filled().len() > before && !self.client.record_read(self.head_bytes) =>
+            {
+                return Poll::Ready(Err(closed_for_others()));
+            }
+            _ => {}
         }
         read
     }
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -4,6 +4,7 @@
 //! a collector with a size limit may truncate.
 
 mod callers;
+mod clients;
 mod connections;
 mod eras;
 mod fragile;
@@ -24,6 +25,7 @@
 use crate::peer;
 
 pub use callers::Callers;
+pub use clients::Clients;
 pub use connections::Connections;
 pub use eras::Eras;
 pub use fragile::Fragile;
@@ -87,6 +89,8 @@
     pub connections: Connections,
     /// Callers that do not read their responses.
     pub callers: Callers,
+    /// Connections of clients.
+    pub clients: Clients,
     /// Paths to upstreams.
     pub paths: Paths,
     /// Requests that arrive before the first configuration.
@@ -193,6 +197,7 @@
             pushback: Pushback::register(&registry),
             connections: Connections::register(&registry),
             callers: Callers::register(&registry),
+            clients: Clients::register(&registry),
             paths: Paths::register(&registry),
             startup: Startup::register(&registry),
             in_flight: gauge("in_flight", "requests in flight"),
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -14,6 +14,7 @@
 pub mod breaker;
 pub mod buffers;
 mod caller_stream;
+pub mod clients;
 pub mod codec;
 pub mod command;
 pub mod connections;
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -1,8 +1,10 @@
 //! Admission of requests and dispatch by the kind of their route.
 
+use std::pin::Pin;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use cloverpost_core::clients::Stage;
 use cloverpost_core::pushback::Block;
 use cloverpost_core::refusal::{Code, Refusal};
 use cloverpost_core::{directory, startup, time};
@@ -12,6 +14,7 @@
 use hyper::body::{Frame, Incoming};
 
 use crate::gateway::caller_stream::ReadBy;
+use crate::gateway::clients::{self, Client};
 use crate::gateway::codec::{Codec, RequestHead};
 use crate::gateway::in_flight::InFlightGuard;
 use crate::gateway::job::Job;
@@ -22,18 +25,26 @@
 use crate::gateway::unary::{self, Outcome};
 use crate::gateway::{Shared, crashes, selection};
 
+/// Memory of a request beside that of its connection: its task and its connection to an upstream.
+const REQUEST_BYTES: u64 = 32 * 1024;
+
 /// A response with a full body or a stream of events.
-type RouteResponse<S> = Response<Either<Full<Bytes>, StreamBody<S>>>;
+type RouteResponse<S> = Response<RouteBody<S>>;
+/// A full body or a stream of events.
+type RouteBody<S> = Either<Full<Bytes>, Pin<Box<StreamBody<S>>>>;
+/// Events of a stream.
+type EventFrame = Result<Frame<Bytes>, StreamAborted>;
 
-/// Handles one request of a caller.
+/// Handles one request of a caller, which arrived on the connection of `client`.
 pub async fn handle<C: Codec>(
     shared: Arc<Shared<C>>,
+    client: Arc<Client>,
     request: Request<Incoming>,
-) -> RouteResponse<impl Stream<Item = Result<Frame<Bytes>, StreamAborted>> + Send + 'static + use<C>>
+) -> Response<clients::Served<RouteBody<impl Stream<Item = EventFrame> + Send + 'static + use<C>>>>
 {
     let started = shared.clock.now();
     let is_leaving = *shared.phase.borrow() >= Phase::Leaving;
-    let mut response = match admit(&shared, request, started).await {
+    let mut response = match admit(&shared, &client, request, started).await {
         Err((head, refusal)) => {
             let response = response::refusal_response(&refusal);
             let status = response.status().as_u16();
@@ -45,6 +56,8 @@
                 status,
                 started,
             );
+            // Lets others take a turn: a client may send refused requests without end.
+            tokio::task::yield_now().await;
             response.map(|body| Either::Left(Full::new(body)))
         }
         Ok(job) => respond(&shared, job).await,
@@ -53,14 +66,13 @@
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
+    response.map(|body| clients::Served::new(body, client))
 }
 
 async fn respond<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: Job,
-) -> RouteResponse<impl Stream<Item = Result<Frame<Bytes>, StreamAborted>> + Send + 'static + use<C>>
-{
+) -> RouteResponse<impl Stream<Item = EventFrame> + Send + 'static + use<C>> {
     if crashes::is_quarantined(shared, &job).await {
         let refusal = crashes::refusal(shared, &job);
         let response = response::refusal_response(&refusal);
@@ -78,6 +90,7 @@
 
 async fn admit<C: Codec>(
     shared: &Shared<C>,
+    client: &Client,
     request: Request<Incoming>,
     started: time::Moment,
 ) -> Result<Job, AdmissionError> {
@@ -86,6 +99,10 @@
         .codec
         .decode_request(&head)
         .map_err(|malformed| (None, Refusal::not_run(Code::MalformedHeader, malformed.0)))?;
+    if !client.begin(Stage::Busy, REQUEST_BYTES) {
+        let refusal = Refusal::not_run(Code::Overloaded, "no memory is free for the request");
+        return Err((Some(request_head), refusal));
+    }
     let waiting = startup_request(&head, &request_head);
     if let Err(refusal) = wait_until_routable(shared, &request_head, &waiting).await {
         return Err((Some(request_head), refusal));
@@ -174,8 +191,7 @@
 async fn respond_with_stream<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: Job,
-) -> RouteResponse<impl Stream<Item = Result<Frame<Bytes>, StreamAborted>> + Send + 'static + use<C>>
-{
+) -> RouteResponse<impl Stream<Item = EventFrame> + Send + 'static + use<C>> {
     let logged_job = job.clone();
     let in_flight = InFlightGuard::new(&shared.metrics);
     let response = match stream::start(shared, job).await {
@@ -192,7 +208,8 @@
             *response.headers_mut() = crate::front::headers::end_to_end(&relay.head.headers);
             let left = logged_job.deadline.since(now);
             response.extensions_mut().insert(ReadBy::of_stream(left));
-            return response.map(|()| Either::Right(StreamBody::new(relay.frames(in_flight))));
+            return response
+                .map(|()| Either::Right(Box::pin(StreamBody::new(relay.frames(in_flight)))));
         }
         StreamStart::Failed(response) => {
             record_job_end(shared, &logged_job, "failed", &response);
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -17,6 +17,7 @@
 use tokio::task::JoinSet;
 
 use crate::gateway::caller_stream::{self, CallerStream, ReadBy};
+use crate::gateway::clients::{self, Client};
 use crate::gateway::codec::Codec;
 use crate::gateway::shared::Phase;
 use crate::gateway::{Shared, route};
@@ -38,12 +39,18 @@
 pub async fn run<C: Codec>(listener: TcpListener, shared: Arc<Shared<C>>) {
     let mut phase = shared.phase.subscribe();
     let mut connections = JoinSet::new();
+    let late = {
+        let shared = shared.clone();
+        tokio::spawn(shared.callers.clone().close_late(move || timeouts(&shared)))
+    };
     loop {
         tokio::select! {
             () = wait_for_closing(&mut phase) => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _peer)) => {
-                    connections.spawn(serve(shared.clone(), stream));
+                    if let Some(client) = shared.callers.open() {
+                        connections.spawn(serve(shared.clone(), stream, client));
+                    }
                 }
                 Err(error) => {
                     log::warn!(why:% = error; "failed to accept a connection");
@@ -55,25 +62,53 @@
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
+    late.abort();
 }
 
-async fn serve<C: Codec>(shared: Arc<Shared<C>>, stream: TcpStream) {
+/// Serves the connection `stream` of `client`. Most of its memory is taken only once a byte has arrived.
+async fn serve<C: Codec>(shared: Arc<Shared<C>>, stream: TcpStream, client: Arc<Client>) {
     socket::configure(&stream, socket::CALLER_TIMEOUTS);
     socket::limit_send_buffer(&stream);
-    let limits = shared
-        .view
-        .load()
-        .index
-        .as_ref()
-        .map(|index| *index.limits());
-    let limits = limits.unwrap_or_default();
+    socket::limit_request_buffer(&stream);
     let mut phase = shared.phase.subscribe();
+    let is_readable = tokio::select! {
+        readable = stream.readable() => readable.is_ok(),
+        () = client.closed() => false,
+        () = wait_for_closing(&mut phase) => false,
+    };
+    if is_readable {
+        let requests = Box::pin(serve_requests(shared, stream, client.clone(), phase));
+        tokio::select! {
+            () = requests => {}
+            () = client.closed() => {}
+        }
+    }
+}
+
+async fn serve_requests<C: Codec>(
+    shared: Arc<Shared<C>>,
+    stream: TcpStream,
+    client: Arc<Client>,
+    mut phase: watch::Receiver<Phase>,
+) {
+    let limits = shared.limits();
     let limit = caller_stream::Limit::default();
     let disconnects = shared.metrics.callers.disconnects.clone();
-    let stream = CallerStream::new(stream, limit.clone(), disconnects);
+    let stream = CallerStream::new(
+        stream,
+        limit.clone(),
+        client.clone(),
+        limits.header_bytes,
+        disconnects,
+    );
     let service_state = shared.clone();
     let service = service_fn(move |request: Request<Incoming>| {
-        let response = route::handle(service_state.clone(), request);
+        // In a box of its own, since hyper reserves memory for it as the connection begins.
+        let response = Box::pin(route::handle(
+            service_state.clone(),
+            client.clone(),
+            request,
+        ));
         let limit = limit.clone();
         async move {
             let response = response.await;
@@ -92,6 +127,15 @@
     serve_until_closing(connection, &mut phase).await;
 }
 
+/// Times after which connections of callers are closed.
+fn timeouts<C: Codec>(shared: &Shared<C>) -> clients::Timeouts {
+    let limits = shared.limits();
+    clients::Timeouts {
+        head: limits.receive_timeout,
+        silent: limits.idle_timeout,
+    }
+}
+
 /// Waits until the VM enters the closing phase.
 async fn wait_for_closing(phase: &mut watch::Receiver<Phase>) {
     // The sender is part of the shared state, so it outlives this receiver.
--- a/crates/cloverpost/src/gateway/settings.rs
+++ b/crates/cloverpost/src/gateway/settings.rs
@@ -7,7 +7,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use cloverpost_core::{balance, cold, directory, escalation, id, startup, throttle};
+use cloverpost_core::{balance, clients, cold, directory, escalation, id, startup, throttle};
 
 /// Validated settings.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,6 +61,8 @@
     pub size: directory::Size,
     /// Limit on the requests that wait for the first configuration; read only at startup.
     pub startup: startup::Capacity,
+    /// Memory for clients; read only at startup.
+    pub memory: clients::Shares,
     /// Whether the whole site starts for the first time.
     pub is_new_site: bool,
 }
@@ -223,7 +225,7 @@
         let leave = self.count("leave-ms", 2_000);
         let max_descriptors = self.count("max-descriptors", 1024);
         let size = self.size();
-        let startup = self.startup();
+        let megabytes = self.megabytes();
         let is_new_site = self.bool("new-site", false);
         Some(Settings {
             vm: vm?,
@@ -249,7 +251,8 @@
             leave: Duration::from_millis(leave?.into()),
             max_descriptors: max_descriptors?,
             size: size?,
-            startup: startup?,
+            startup: startup::Capacity::of_memory(megabytes?),
+            memory: clients::Shares::of_memory(megabytes?),
             is_new_site: is_new_site?,
         })
     }
@@ -274,11 +277,11 @@
         })
     }
 
-    fn startup(&mut self) -> Option<startup::Capacity> {
+    /// Memory of the VM; 0 if it is not known.
+    fn megabytes(&mut self) -> Option<u32> {
         let memory = self.number("memory-mb", 0.0, 1e6, "a number of MB from 0 to 1000000");
         #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)] // bounded above
-        let megabytes = memory?.round() as u32;
-        Some(startup::Capacity::of_memory(megabytes))
+        memory.map(|megabytes| megabytes.round() as u32)
     }
 
     fn cold(&mut self) -> Option<cold::Options> {
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,13 +7,14 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    admission, balance, budget, directory, escalation, exposure, id, path, poison, quota, throttle,
-    time,
+    admission, balance, budget, clients, directory, escalation, exposure, id, path, poison, quota,
+    throttle, time,
 };
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
 use crate::gateway::buffers::Buffers;
+use crate::gateway::clients::Clients;
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
 use crate::gateway::evidence::Evidence;
@@ -58,6 +59,8 @@
     pub pool: Pool,
     /// Memory for large responses.
     pub buffers: Buffers,
+    /// Connections of callers.
+    pub callers: Clients,
     /// Links to peers, once the control thread has bound them.
     pub links: OnceLock<peer::Links>,
     /// The other VMs.
@@ -98,6 +101,14 @@
 }
 
 impl<C: Codec> Shared<C> {
+    /// Limits on the requests of callers.
+    #[must_use]
+    pub fn limits(&self) -> directory::Limits {
+        let view = self.view.load();
+        let limits = view.index.as_ref().map(|index| *index.limits());
+        limits.unwrap_or_default()
+    }
+
     /// Creates the state of a VM that has just started.
     #[must_use]
     pub fn new(settings: Settings, codec: C) -> Arc<Self> {
@@ -113,6 +124,9 @@
         let admission = admission::Register::new(settings.cold, settings.throttle, senders);
         let startup = Waiters::new(settings.startup);
         let metrics = Metrics::new();
+        let memory = settings.memory;
+        let limits = clients::Limits::of_callers(settings.max_descriptors, memory.connections);
+        let callers = Clients::new("callers", limits, &metrics.clients);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -120,7 +134,8 @@
             view: ArcSwap::default(),
             is_routable: watch::Sender::new(false),
             pool: Pool::new(clock, metrics.connections.open.clone()),
-            buffers: Buffers::default(),
+            buffers: Buffers::new(memory.responses),
+            callers,
             links: OnceLock::new(),
             peers: ArcSwap::default(),
             metrics,
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -24,6 +24,7 @@
 use crate::gateway::store::Store;
 use crate::gateway::{Shared, operator_server, path, reload, server, tunnels};
 use crate::peer;
+use crate::socket;
 
 /// Delay between failing the readiness check and closing connections. The balancer checks every
 /// second and acts on two failures.
@@ -78,11 +79,14 @@
     ) -> Result<Self, Error> {
         let caller_listener = bind("caller-addr", settings.caller_addr).await?;
         let operator_listener = bind("operator-addr", settings.operator_addr).await?;
+        socket::limit_backlog(&caller_listener);
+        socket::limit_backlog(&operator_listener);
         let operator_addr = operator_listener.local_addr().map_err(Error::System)?;
         let shared = Shared::new(settings, codec);
         tokio::spawn(operator_server::run(operator_listener, shared.clone()));
         if let Some(address) = shared.settings.load().metrics_addr {
             let metrics = bind("metrics-addr", address).await?;
+            socket::limit_backlog(&metrics);
             tokio::spawn(operator_server::run(metrics, shared.clone()));
         }
         if let Some(file) = file {
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Timeouts after which a connection to an unreachable peer is closed.
 ///
@@ -37,7 +37,26 @@
 /// Size of limited socket buffers, which the kernel doubles for its own data. It is the product of
 /// 10 Mbit/s and 100 ms. By itself the kernel lets a buffer grow to megabytes, which count against
 /// the memory of the VM while the caller does not read.
-const BUFFER_BYTES: usize = 128 * 1024;
+pub const BUFFER_BYTES: usize = 128 * 1024;
+
+/// Size of small socket buffers, which hold a request with a small body or a short response.
+const SMALL_BUFFER_BYTES: usize = 32 * 1024;
+
+/// Size of the buffers of connections that are not accepted yet, of which there may be a thousand.
+const BACKLOG_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Limits the kernel's memory for requests on connections that `listener` has not accepted yet. The
+/// buffer of a connection can be enlarged afterwards.
+pub fn limit_backlog(listener: &TcpListener) {
+    // Without the limit, the kernel chooses the size.
+    let _ = SockRef::from(listener).set_recv_buffer_size(BACKLOG_BUFFER_BYTES);
+}
+
+/// Limits the kernel's memory for requests of the client of `stream` that are not read.
+pub fn limit_request_buffer(stream: &TcpStream) {
+    // Without the limit, the kernel chooses the size.
+    let _ = SockRef::from(stream).set_recv_buffer_size(SMALL_BUFFER_BYTES);
+}
 
 /// Limits the kernel's memory for bytes that the peer of `stream` has not read.
 pub fn limit_send_buffer(stream: &TcpStream) {
