--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -58,6 +58,12 @@
     let _ = SockRef::from(stream).set_recv_buffer_size(SMALL_BUFFER_BYTES);
 }
 
+/// Limits the kernel's memory for short responses that the client of `stream` has not read.
+pub fn limit_response_buffer(stream: &TcpStream) {
+    // Without the limit, the kernel chooses the size.
+    let _ = SockRef::from(stream).set_send_buffer_size(SMALL_BUFFER_BYTES);
+}
+
 /// Limits the kernel's memory for bytes that the peer of `stream` has not read.
 pub fn limit_send_buffer(stream: &TcpStream) {
     // Without the limit, the kernel chooses the size.
