fix(cloverpost): bodies of requests share a bounded memory, and are copied as they arrive

Callers saw the process end within a second beside bodies of legal size: 24 clients with bodies of 4 MiB, whole, in pieces or in chunks of 1 to 1,000 bytes, with lengths over the limit, or 200 that stop half-way; 24 to 95 of some 330 ordinary requests were served.

Cause: a body was bounded by itself, not together with others. It was collected as a list of frames, each of which keeps the buffer of up to 16 KiB that it was read to, so a chunk of one byte held thousands. A body with a declared length over the limit was received up to the limit before it was refused.

Change: bodies up to 64 KiB count with their connection. A larger one reserves memory for all of its declared length, or for the limit if it is chunked, before more of it is read; it waits its turn for at most half of the request's time, and is refused as not run (503) after that. While others wait, a body that would not be complete within the time that it has anyway (four times that of a head) is refused (408). What arrives is copied into one buffer. A declared length over the limit is refused by the head alone. Requests and responses have memory of their own: a request holds its body while it waits for memory for its response, so with one memory each could wait for the other. Sizes are parts of `memory-mb`.

--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -53,6 +53,7 @@
 mod stream;
 mod tunnels;
 mod unary;
+mod upload;
 pub mod vm;
 
 pub use settings::Settings;
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -7,10 +7,10 @@
 use cloverpost_core::clients::Stage;
 use cloverpost_core::pushback::Block;
 use cloverpost_core::refusal::{Code, Refusal};
-use cloverpost_core::{directory, startup, time};
+use cloverpost_core::{startup, time};
 use futures_util::Stream;
 use http::{HeaderValue, Method, Request, Response, header};
-use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{Either, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 
 use crate::gateway::caller_stream::ReadBy;
@@ -23,7 +23,7 @@
 use crate::gateway::startup::wait_until_routable;
 use crate::gateway::stream::{self, StreamAborted, StreamStart};
 use crate::gateway::unary::{self, Outcome};
-use crate::gateway::{Shared, crashes, selection};
+use crate::gateway::{Shared, crashes, selection, upload};
 
 /// Memory of a request beside that of its connection: its task and its connection to an upstream.
 const REQUEST_BYTES: u64 = 32 * 1024;
@@ -94,7 +94,7 @@
     request: Request<Incoming>,
     started: time::Moment,
 ) -> Result<Job, AdmissionError> {
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let request_head = shared
         .codec
         .decode_request(&head)
@@ -136,14 +136,26 @@
             refuse(Code::NoUpstream, "the route leads nowhere"),
         ));
     };
-    let body = match read_body(body, index.limits()).await {
-        Ok(body) => body,
-        Err((code, message)) => return Err((Some(request_head), refuse(code, message))),
-    };
     let timeout = request_head
         .timeout
         .unwrap_or(route.timeout)
         .min(route.timeout);
+    let options = upload::Options {
+        limits: index.limits(),
+        memory: &shared.uploads,
+        // Leaves half of the time for the upstream.
+        max_wait: timeout / 2,
+        head_bytes: REQUEST_BYTES,
+    };
+    let body = match upload::receive(client, &mut body, options).await {
+        Ok(body) => body,
+        Err((code, message)) => return Err((Some(request_head), refuse(code, message))),
+    };
+    let body_bytes = body.len().min(upload::SMALL_BYTES) as u64;
+    if !client.begin(Stage::Busy, REQUEST_BYTES + body_bytes) {
+        let message = "no memory is free for the request";
+        return Err((Some(request_head), refuse(Code::Overloaded, message)));
+    }
     Ok(Job {
         service: destination.service.clone(),
         headers: shared.codec.forwarded_headers(&head.headers),
@@ -171,23 +183,6 @@
     }
 }
 
-async fn read_body(
-    body: Incoming,
-    limits: &directory::Limits,
-) -> Result<Bytes, (Code, &'static str)> {
-    // A large body takes longer to receive than the headers.
-    let limit = limits.receive_timeout * 4;
-    let body = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(limit, body).await {
-        Err(_elapsed) => Err((Code::SlowClient, "the body took too long")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err((Code::BodyTooLarge, "the body is over the limit"))
-        }
-        Ok(Err(_)) => Err((Code::MalformedBody, "the body broke off")),
-    }
-}
-
 async fn respond_with_stream<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: Job,
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -59,6 +59,8 @@
     pub pool: Pool,
     /// Memory for large responses.
     pub buffers: Buffers,
+    /// Memory for large requests.
+    pub uploads: Buffers,
     /// Connections of callers.
     pub callers: Clients,
     /// Links to peers, once the control thread has bound them.
@@ -135,6 +137,7 @@
             is_routable: watch::Sender::new(false),
             pool: Pool::new(clock, metrics.connections.open.clone()),
             buffers: Buffers::new(memory.responses),
+            uploads: Buffers::new(memory.requests),
             callers,
             links: OnceLock::new(),
             peers: ArcSwap::default(),
