fix(cloverpost): a head may have as many fields as fit into its bytes

Callers with a head of 4 kB and 300 fields, or of 15 kB and 2,600, got 431: the HTTP library's own limit of 100 fields. The configuration limits bytes, not fields.

Change: the limit of fields follows from the limit of bytes. A field costs many times its bytes in tables of headers (received, kept for each attempt, sent), so the memory of a head is estimated by its fields, text and parts of the prompt. Up to 64 KiB count with the connection; the rest is reserved from the memory for large requests, or the request is refused at once as not run (503): its head is in memory already, so it cannot wait.

--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod evidence;
 pub mod faults;
 mod follow;
+mod footprint;
 mod in_flight;
 mod interim;
 mod job;
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -16,6 +16,7 @@
 use crate::gateway::caller_stream::ReadBy;
 use crate::gateway::clients::{self, Client};
 use crate::gateway::codec::{Codec, RequestHead};
+use crate::gateway::footprint::{self, Footprint, NoMemory};
 use crate::gateway::in_flight::InFlightGuard;
 use crate::gateway::job::Job;
 use crate::gateway::response::{self, FullResponse};
@@ -25,9 +26,6 @@
 use crate::gateway::unary::{self, Outcome};
 use crate::gateway::{Shared, crashes, selection, upload};
 
-/// Memory of a request beside that of its connection: its task and its connection to an upstream.
-const REQUEST_BYTES: u64 = 32 * 1024;
-
 /// A response with a full body or a stream of events.
 type RouteResponse<S> = Response<RouteBody<S>>;
 /// A full body or a stream of events.
@@ -99,10 +97,11 @@
         .codec
         .decode_request(&head)
         .map_err(|malformed| (None, Refusal::not_run(Code::MalformedHeader, malformed.0)))?;
-    if !client.begin(Stage::Busy, REQUEST_BYTES) {
-        let refusal = Refusal::not_run(Code::Overloaded, "no memory is free for the request");
-        return Err((Some(request_head), refusal));
-    }
+    let footprint = Footprint::of(&head, &request_head);
+    let memory = match footprint.reserve(client, &shared.uploads) {
+        Ok(memory) => memory,
+        Err(full) => return Err((Some(request_head), full.into())),
+    };
     let waiting = startup_request(&head, &request_head);
     if let Err(refusal) = wait_until_routable(shared, &request_head, &waiting).await {
         return Err((Some(request_head), refusal));
@@ -145,16 +144,15 @@
         memory: &shared.uploads,
         // Leaves half of the time for the upstream.
         max_wait: timeout / 2,
-        head_bytes: REQUEST_BYTES,
+        head_bytes: footprint.counted_bytes(),
     };
     let body = match upload::receive(client, &mut body, options).await {
         Ok(body) => body,
         Err((code, message)) => return Err((Some(request_head), refuse(code, message))),
     };
-    let body_bytes = body.len().min(upload::SMALL_BYTES) as u64;
-    if !client.begin(Stage::Busy, REQUEST_BYTES + body_bytes) {
-        let message = "no memory is free for the request";
-        return Err((Some(request_head), refuse(Code::Overloaded, message)));
+    let bytes = footprint.counted_bytes() + footprint::counted_body_bytes(&body);
+    if !client.begin(Stage::Busy, bytes) {
+        return Err((Some(request_head), NoMemory.into()));
     }
     Ok(Job {
         service: destination.service.clone(),
@@ -168,6 +166,7 @@
         head: request_head,
         route,
         fingerprint: Arc::default(),
+        memory,
     })
 }
 
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -27,6 +27,10 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
+/// Size of the shortest field of a head: a letter, a colon and the end of the line.
+const MIN_FIELD_BYTES: usize = 4;
+/// Largest number of fields that hyper's table of headers can hold, with a margin.
+const MAX_FIELDS: usize = 24_000;
 
 /// Binds `address`. Tokio sets `SO_REUSEADDR`, so a restarted process can bind the
 /// port of its predecessor.
@@ -123,10 +127,16 @@
         // than the idle timeout.
         .header_read_timeout(limits.idle_timeout.max(limits.receive_timeout))
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        .max_headers(max_fields(limits.header_bytes))
         .serve_connection(TokioIo::new(stream), service);
     serve_until_closing(connection, &mut phase).await;
 }
 
+/// The largest number of fields in a head of `bytes`.
+fn max_fields(bytes: usize) -> usize {
+    (bytes / MIN_FIELD_BYTES).clamp(1, MAX_FIELDS)
+}
+
 /// Times after which connections of callers are closed.
 fn timeouts<C: Codec>(shared: &Shared<C>) -> clients::Timeouts {
     let limits = shared.limits();
