fix(cloverpost): a refusal of an upload reaches its caller

Callers whose upload has no route saw a reset and not the 404; so did those with a body over the limit instead of the 413. A reset promises nothing, so such callers send again.

Cause: the refusal was sent at once and the connection closed while bytes were unread. The kernel then resets it, which destroys what the caller has not read yet.

Change: the rest of a refused request is read and discarded while the refusal is sent, up to four times the largest body and 2 s. Such a connection is closed for others like those of slow clients. Nothing is read from callers that wait for leave to send (`Expect`). Refusals after which the connection ends say so.

--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -11,7 +11,7 @@
 use futures_util::Stream;
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{Either, Full, StreamBody};
-use hyper::body::{Frame, Incoming};
+use hyper::body::{Body, Frame, Incoming};
 
 use crate::gateway::caller_stream::ReadBy;
 use crate::gateway::clients::{self, Client};
@@ -42,9 +42,11 @@
 {
     let started = shared.clock.now();
     let is_leaving = *shared.phase.borrow() >= Phase::Leaving;
-    let mut response = match admit(&shared, &client, request, started).await {
+    let (head, mut body) = request.into_parts();
+    let expects_leave = head.headers.contains_key(header::EXPECT);
+    let mut response = match admit(&shared, &client, head, &mut body, started).await {
         Err((head, refusal)) => {
-            let response = response::refusal_response(&refusal);
+            let mut response = response::refusal_response(&refusal);
             let status = response.status().as_u16();
             record_end(
                 &shared,
@@ -54,6 +56,17 @@
                 status,
                 started,
             );
+            if !body.is_end_stream() {
+                if matches!(
+                    refusal.code,
+                    Code::BodyTooLarge | Code::Overloaded | Code::SlowClient
+                ) {
+                    set_close(&mut response);
+                }
+                if !expects_leave {
+                    discard_rest(&shared, &client, body);
+                }
+            }
             // Lets others take a turn: a client may send refused requests without end.
             tokio::task::yield_now().await;
             response.map(|body| Either::Left(Full::new(body)))
@@ -61,12 +74,27 @@
         Ok(job) => respond(&shared, job).await,
     };
     if is_leaving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        set_close(&mut response);
     }
     response.map(|body| clients::Served::new(body, client))
 }
 
+/// Tells the caller that its connection will be closed.
+fn set_close<B>(response: &mut Response<B>) {
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
+/// Discards the rest of a refused request of `client` while the refusal is sent.
+fn discard_rest<C: Codec>(shared: &Shared<C>, client: &Arc<Client>, body: Incoming) {
+    let (client, max_bytes) = (client.clone(), shared.limits().body_bytes);
+    client.set_discarding(true);
+    tokio::spawn(async move {
+        upload::discard(body, max_bytes).await;
+        client.set_discarding(false);
+    });
+}
+
 async fn respond<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: Job,
@@ -89,10 +117,10 @@
 async fn admit<C: Codec>(
     shared: &Shared<C>,
     client: &Client,
-    request: Request<Incoming>,
+    head: http::request::Parts,
+    body: &mut Incoming,
     started: time::Moment,
 ) -> Result<Job, AdmissionError> {
-    let (head, mut body) = request.into_parts();
     let request_head = shared
         .codec
         .decode_request(&head)
@@ -146,7 +174,7 @@
         max_wait: timeout / 2,
         head_bytes: footprint.counted_bytes(),
     };
-    let body = match upload::receive(client, &mut body, options).await {
+    let body = match upload::receive(client, body, options).await {
         Ok(body) => body,
         Err((code, message)) => return Err((Some(request_head), refuse(code, message))),
     };
--- a/crates/cloverpost/src/gateway/upload.rs
+++ b/crates/cloverpost/src/gateway/upload.rs
@@ -25,6 +25,11 @@
 const PACE_GRACE: Duration = Duration::from_secs(1);
 /// Interval at which the pace of a body is checked while nothing arrives.
 const PACE_INTERVAL: Duration = Duration::from_millis(250);
+/// Multiple of the largest body up to which a refused one is discarded.
+const DISCARD_FACTOR: usize = 4;
+/// Time limit of discarding a body.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Why a body was not received, with a description for the caller's developers.
 pub type Error = (Code, &'static str);
 
@@ -148,3 +153,20 @@
         }
     }
 }
+
+/// Reads the rest of the body of a refused request, up to a multiple of `max_bytes`. A connection that
+/// is closed while bytes are unread is reset, which destroys the refusal on its way.
+pub async fn discard(mut body: Incoming, max_bytes: usize) {
+    let max = max_bytes.saturating_mul(DISCARD_FACTOR);
+    let read = async {
+        let mut count = 0;
+        while let Some(Ok(frame)) = body.frame().await {
+            count += frame.data_ref().map_or(0, Bytes::len);
+            if count > max {
+                break;
+            }
+        }
+    };
+    // The connection is closed with what is left.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, read).await;
+}
