fix(cloverpost): requests that wait for memory or are not read yield to ordinary ones

Callers beside 600 clients that do not read responses of 1 MiB: 1 of 190 and 4 of 251 ordinary requests were not served.

Cause: requests that wait for the memory of their responses counted as served, so they were never closed for others, and filled the memory of connections. The second: the listener accepted up to a thousand connections in a turn, so a request was displaced before it was read.

Change: a request that waits for memory and may be sent again has a stage of its own, in which it is closed like others; so has one whose response is not read. A caller that is disconnected for others while it does not read has its line and its count, as before. At most 64 connections are accepted in a turn.

--- a/crates/cloverpost-core/src/clients/stage.rs
+++ b/crates/cloverpost-core/src/clients/stage.rs
@@ -11,6 +11,8 @@
     Body,
     /// A request is being served. The connection is not closed for others.
     Busy,
+    /// Its response waits for memory, and its request may be sent again.
+    Waiting,
     /// It does not read a response that is ready.
     Blocked,
     /// Its request was refused, and the rest of it is discarded.
--- a/crates/cloverpost/src/gateway/caller_stream.rs
+++ b/crates/cloverpost/src/gateway/caller_stream.rs
@@ -149,6 +149,15 @@
     }
 }
 
+impl Drop for CallerStream {
+    /// Records a caller that is disconnected for others while it does not read its response.
+    fn drop(&mut self) {
+        if self.blocked.is_some() && !self.client.is_open() {
+            self.record("unread");
+        }
+    }
+}
+
 /// The error of a connection that is closed for others.
 fn closed_for_others() -> io::Error {
     io::ErrorKind::ConnectionAborted.into()
--- a/crates/cloverpost/src/gateway/clients.rs
+++ b/crates/cloverpost/src/gateway/clients.rs
@@ -243,6 +243,25 @@
         }
     }
 
+    /// Records whether the response of a request, which may be sent again, waits for memory.
+    pub fn set_waiting(&self, is_waiting: bool) {
+        let mut activity = self.activity();
+        activity.stage = if is_waiting {
+            Stage::Waiting
+        } else {
+            Stage::Busy
+        };
+        if !self.apply(&activity) {
+            self.closed.notify_one();
+        }
+    }
+
+    /// Whether the connection has not been closed for others, or since it took too long.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        self.clients.state().signals.contains_key(&self.connection)
+    }
+
     /// Records whether the rest of a refused request is discarded.
     pub fn set_discarding(&self, is_discarding: bool) {
         let mut activity = self.activity();
@@ -288,6 +307,9 @@
         let mut all = self.clients.state();
         let outcome = all.register.set(self.connection, stage, bytes);
         self.clients.record(&mut all, &outcome);
+        if !outcome.is_kept {
+            all.signals.remove(&self.connection);
+        }
         outcome.is_kept
     }
 }
--- a/crates/cloverpost/src/gateway/job.rs
+++ b/crates/cloverpost/src/gateway/job.rs
@@ -7,6 +7,7 @@
 use cloverpost_core::{directory, id, time};
 
 use crate::gateway::buffers::Reservation;
+use crate::gateway::clients::Client;
 use crate::gateway::codec::RequestHead;
 
 /// Number of parts of a prompt that are considered, so that a caller cannot fill the tables of parts.
@@ -37,6 +38,8 @@
     pub service: id::Pool,
     /// Computed on first use.
     pub fingerprint: Arc<OnceLock<Fingerprint>>,
+    /// Connection of the caller.
+    pub client: Arc<Client>,
     /// Held for a large head.
     pub memory: Option<Arc<Reservation>>,
 }
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -116,7 +116,7 @@
 
 async fn admit<C: Codec>(
     shared: &Shared<C>,
-    client: &Client,
+    client: &Arc<Client>,
     head: http::request::Parts,
     body: &mut Incoming,
     started: time::Moment,
@@ -194,6 +194,7 @@
         head: request_head,
         route,
         fingerprint: Arc::default(),
+        client: client.clone(),
         memory,
     })
 }
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -25,6 +25,9 @@
 
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Connections that are accepted before others take a turn. Many more would displace a connection
+/// before its request is read.
+const MAX_ACCEPTED_IN_TURN: usize = 64;
 /// Smallest buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8192;
 /// Size of the shortest field of a head: a letter, a colon and the end of the line.
@@ -47,11 +50,17 @@
         let shared = shared.clone();
         tokio::spawn(shared.callers.clone().close_late(move || timeouts(&shared)))
     };
+    let mut accepted_in_turn = 0;
     loop {
+        if accepted_in_turn == MAX_ACCEPTED_IN_TURN {
+            accepted_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
         tokio::select! {
             () = wait_for_closing(&mut phase) => break,
             accepted = listener.accept() => match accepted {
                 Ok((stream, _peer)) => {
+                    accepted_in_turn += 1;
                     if let Some(client) = shared.callers.open() {
                         connections.spawn(serve(shared.clone(), stream, client));
                     }
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -12,7 +12,7 @@
 
 use crate::gateway::Shared;
 use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
-use crate::gateway::buffers;
+use crate::gateway::buffers::{self, Reservation};
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
@@ -157,7 +157,7 @@
         ..
     } = response;
     let left = job.deadline.since(shared.clock.now());
-    let body = tokio::time::timeout(left, read_body(shared, body));
+    let body = tokio::time::timeout(left, read_body(shared, job, body));
     let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
     slot.end();
     let body = match body {
@@ -199,7 +199,11 @@
 
 /// Reads `body` to its end. Bytes beyond the first ones are read only once memory is reserved for all
 /// of it.
-async fn read_body<C: Codec>(shared: &Shared<C>, mut body: Incoming) -> Result<Bytes, BodyError> {
+async fn read_body<C: Codec>(
+    shared: &Shared<C>,
+    job: &Job,
+    mut body: Incoming,
+) -> Result<Bytes, BodyError> {
     let declared = body.size_hint().exact();
     let max = declared.map_or(MAX_RESPONSE_BYTES, |length| {
         usize::try_from(length).unwrap_or(usize::MAX)
@@ -208,7 +212,7 @@
         return Err(BodyError::TooLarge);
     }
     let mut reservation = match declared {
-        Some(_) if max > buffers::UNRESERVED_BYTES => Some(shared.buffers.reserve(max).await),
+        Some(_) if max > buffers::UNRESERVED_BYTES => Some(reserve(shared, job, max).await),
         _ => None,
     };
     let mut bytes = Vec::new();
@@ -222,7 +226,7 @@
             return Err(BodyError::TooLarge);
         }
         if length > buffers::UNRESERVED_BYTES && reservation.is_none() {
-            reservation = Some(shared.buffers.reserve(max).await);
+            reservation = Some(reserve(shared, job, max).await);
         }
         if reservation.is_some() && length > bytes.capacity() {
             // A buffer that grows is copied, and takes up to twice the reserved memory meanwhile.
@@ -236,6 +240,23 @@
     })
 }
 
+/// Waits for memory for a response. The caller of a request that may be sent again may be disconnected
+/// for others meanwhile.
+async fn reserve<C: Codec>(shared: &Shared<C>, job: &Job, bytes: usize) -> Reservation {
+    if let Some(reservation) = shared.buffers.try_reserve(bytes) {
+        return reservation;
+    }
+    let may_close = job.route.kind.is_idempotent();
+    if may_close {
+        job.client.set_waiting(true);
+    }
+    let reservation = shared.buffers.reserve(bytes).await;
+    if may_close {
+        job.client.set_waiting(false);
+    }
+    reservation
+}
+
 fn into_response(head: &http::response::Parts, body: Bytes) -> FullResponse {
     let mut response = Response::new(body);
     *response.status_mut() = head.status;
