fix(cloverpost): discarding refused uploads takes little processor time

Also, each change of a connection looked up its metrics by labels, and a connection whose request had arrived could be closed unread as the VM stops.

Change: 25 ms of pause after each 256 KiB that are discarded; metrics are looked up once; a request that has arrived is served before the VM's stop is looked at.

--- a/crates/cloverpost/src/gateway/clients.rs
+++ b/crates/cloverpost/src/gateway/clients.rs
@@ -57,7 +57,7 @@
 struct Inner {
     listener: &'static str,
     state: Mutex<State>,
-    metrics: metrics::Clients,
+    metrics: metrics::Listener,
 }
 
 #[derive(Debug)]
@@ -93,7 +93,7 @@
                 closed: 0,
                 late: 0,
             }),
-            metrics: metrics.clone(),
+            metrics: metrics.listener(listener),
         }))
     }
 
@@ -134,7 +134,7 @@
             let late = state.register.tick(|stage| timeouts.ticks(stage));
             state.close(&late);
             state.late += late.len() as u64;
-            self.count("late", late.len());
+            self.0.metrics.closed_late.inc_by(late.len() as u64);
             self.log(&mut state);
         }
     }
@@ -163,19 +163,9 @@
         state.close(&outcome.closed);
         let count = outcome.closed.len() + usize::from(!outcome.is_kept);
         state.closed += count as u64;
-        self.count("limit", count);
         let metrics = &self.0.metrics;
-        metrics.set(
-            self.0.listener,
-            state.register.len(),
-            state.register.bytes(),
-        );
-    }
-
-    fn count(&self, reason: &str, count: usize) {
-        let closed = &self.0.metrics.closed;
-        let labels = [self.0.listener, reason];
-        closed.with_label_values(&labels).inc_by(count as u64);
+        metrics.closed_for_others.inc_by(count as u64);
+        metrics.set(state.register.len(), state.register.bytes());
     }
 }
 
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -25,7 +25,7 @@
 use crate::peer;
 
 pub use callers::Callers;
-pub use clients::Clients;
+pub use clients::{Clients, Listener};
 pub use connections::Connections;
 pub use eras::Eras;
 pub use fragile::Fragile;
--- a/crates/cloverpost/src/gateway/metrics/clients.rs
+++ b/crates/cloverpost/src/gateway/metrics/clients.rs
@@ -1,12 +1,11 @@
 //! Metrics of the connections of clients.
 
-use prometheus::{IntCounterVec, IntGaugeVec, Opts, Registry};
+use prometheus::{IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry};
 
 /// Metrics of the connections of clients, by listener.
 #[derive(Clone, Debug)]
 pub struct Clients {
-    /// Connections that were closed, by listener and reason.
-    pub closed: IntCounterVec,
+    closed: IntCounterVec,
     open: IntGaugeVec,
     bytes: IntGaugeVec,
 }
@@ -33,12 +32,33 @@
         }
     }
 
-    /// Sets the gauges of `listener`.
-    pub fn set(&self, listener: &str, open: usize, bytes: u64) {
-        let labels = [listener];
-        let open = i64::try_from(open).unwrap_or(i64::MAX);
-        self.open.with_label_values(&labels).set(open);
-        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
-        self.bytes.with_label_values(&labels).set(bytes);
+    /// The metrics of the listener named `name`.
+    #[must_use]
+    pub fn listener(&self, name: &str) -> Listener {
+        Listener {
+            closed_for_others: self.closed.with_label_values(&[name, "limit"]),
+            closed_late: self.closed.with_label_values(&[name, "late"]),
+            open: self.open.with_label_values(&[name]),
+            bytes: self.bytes.with_label_values(&[name]),
+        }
+    }
+}
+
+/// Metrics of one listener.
+#[derive(Clone, Debug)]
+pub struct Listener {
+    /// Connections closed for others.
+    pub closed_for_others: IntCounter,
+    /// Connections closed since they took too long.
+    pub closed_late: IntCounter,
+    open: IntGauge,
+    bytes: IntGauge,
+}
+
+impl Listener {
+    /// Sets the number of connections and their memory.
+    pub fn set(&self, open: usize, bytes: u64) {
+        self.open.set(i64::try_from(open).unwrap_or(i64::MAX));
+        self.bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 }
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -85,6 +85,8 @@
     socket::limit_request_buffer(&stream);
     let mut phase = shared.phase.subscribe();
     let is_readable = tokio::select! {
+        // A request that has arrived is served, also while the VM closes.
+        biased;
         readable = stream.readable() => readable.is_ok(),
         () = client.closed() => false,
         () = wait_for_closing(&mut phase) => false,
--- a/crates/cloverpost/src/gateway/upload.rs
+++ b/crates/cloverpost/src/gateway/upload.rs
@@ -30,6 +30,12 @@
 /// Time limit of discarding a body.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Bytes of a refused body that are discarded between pauses, so that clients that send without end
+/// take little processor time.
+const DISCARD_BYTES: usize = 256 * 1024;
+/// Pause of discarding a body.
+const DISCARD_PAUSE: Duration = Duration::from_millis(25);
+
 /// Why a body was not received, with a description for the caller's developers.
 pub type Error = (Code, &'static str);
 
@@ -159,12 +165,18 @@
 pub async fn discard(mut body: Incoming, max_bytes: usize) {
     let max = max_bytes.saturating_mul(DISCARD_FACTOR);
     let read = async {
-        let mut count = 0;
+        let (mut count, mut since_pause) = (0, 0);
         while let Some(Ok(frame)) = body.frame().await {
-            count += frame.data_ref().map_or(0, Bytes::len);
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            count += length;
+            since_pause += length;
             if count > max {
                 break;
             }
+            if since_pause >= DISCARD_BYTES {
+                since_pause = 0;
+                tokio::time::sleep(DISCARD_PAUSE).await;
+            }
         }
     };
     // The connection is closed with what is left.
