fix(cloverpost): silent connections count with the memory that they take

2,050 connections without a byte took 27 MB over an idle process (release build, arm64), 13 kB each, but counted with 4 KiB, so their share of 22 MB did not bound them. They count with 16 KiB now. The metrics of the two listeners for operators overwrote each other; they have names of their own. A refusal for lack of memory says that its connection is closed, also without a body.

--- a/crates/cloverpost/src/gateway/clients.rs
+++ b/crates/cloverpost/src/gateway/clients.rs
@@ -19,7 +19,7 @@
 use crate::socket;
 
 /// Memory of a connection on which no byte has arrived.
-const NEW_BYTES: u64 = 4 * 1024;
+const NEW_BYTES: u64 = 16 * 1024;
 /// Memory of a connection after its first byte.
 const CONNECTION_BYTES: u64 = 24 * 1024;
 /// Interval at which connections that take too long are closed.
--- a/crates/cloverpost/src/gateway/operator_server.rs
+++ b/crates/cloverpost/src/gateway/operator_server.rs
@@ -41,9 +41,9 @@
 /// Multiple of the time that it took to render metrics for which they are not rendered again.
 const RENDER_PAUSE: u32 = 16;
 
-/// Serves readiness and metrics on `listener`.
-pub async fn run<C: Codec>(listener: TcpListener, shared: Arc<Shared<C>>) {
-    let clients = Clients::new("operators", LIMITS, &shared.metrics.clients);
+/// Serves readiness and metrics on `listener`, which metrics and the log call `name`.
+pub async fn run<C: Codec>(name: &'static str, listener: TcpListener, shared: Arc<Shared<C>>) {
+    let clients = Clients::new(name, LIMITS, &shared.metrics.clients);
     tokio::spawn(clients.clone().close_late(|| TIMEOUTS));
     let page = Arc::<Page>::default();
     loop {
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -56,16 +56,14 @@
                 status,
                 started,
             );
-            if !body.is_end_stream() {
-                if matches!(
-                    refusal.code,
-                    Code::BodyTooLarge | Code::Overloaded | Code::SlowClient
-                ) {
-                    set_close(&mut response);
-                }
-                if !expects_leave {
-                    discard_rest(&shared, &client, body);
-                }
+            if matches!(
+                refusal.code,
+                Code::BodyTooLarge | Code::Overloaded | Code::SlowClient
+            ) {
+                set_close(&mut response);
+            }
+            if !body.is_end_stream() && !expects_leave {
+                discard_rest(&shared, &client, body);
             }
             // Lets others take a turn: a client may send refused requests without end.
             tokio::task::yield_now().await;
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -83,11 +83,15 @@
         socket::limit_backlog(&operator_listener);
         let operator_addr = operator_listener.local_addr().map_err(Error::System)?;
         let shared = Shared::new(settings, codec);
-        tokio::spawn(operator_server::run(operator_listener, shared.clone()));
+        tokio::spawn(operator_server::run(
+            "operators",
+            operator_listener,
+            shared.clone(),
+        ));
         if let Some(address) = shared.settings.load().metrics_addr {
             let metrics = bind("metrics-addr", address).await?;
             socket::limit_backlog(&metrics);
-            tokio::spawn(operator_server::run(metrics, shared.clone()));
+            tokio::spawn(operator_server::run("metrics", metrics, shared.clone()));
         }
         if let Some(file) = file {
             tokio::spawn(reload::run(file, shared.clone()));
