fix(cloverpost): large bodies may use the memory that connections leave

Cause: large requests had an eighth of the memory, though connections seldom use their quarter. A body is held while its response runs, as it may have to be sent again.

Change: large requests may take three eighths, and connections what is left of one half, an eighth of the memory at least. The register takes the lower limit at its next change and closes connections as before.

--- a/crates/cloverpost-core/src/clients/register.rs
+++ b/crates/cloverpost-core/src/clients/register.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// Sets the limit of memory, which the next change of a connection applies.
+    pub const fn set_max_bytes(&mut self, bytes: u64) {
+        self.limits.bytes = bytes;
+    }
+
     /// Number of connections.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/cloverpost-core/src/clients/shares.rs
+++ b/crates/cloverpost-core/src/clients/shares.rs
@@ -5,16 +5,18 @@
 /// Memory of a VM that does not state it, in megabytes.
 const DEFAULT_MEGABYTES: u64 = 128;
 
-/// The parts of a VM's memory that clients may take, one half in all. The other half is for the process
+/// The parts of a VM's memory that clients may take, five eighths in all. The rest is for the process
 /// itself: tables, connections to upstreams and other VMs, and what the allocator does not return.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shares {
-    /// For connections, heads and small bodies, in bytes.
-    pub connections: u64,
     /// For large heads and bodies of requests, in bytes.
     pub requests: u64,
     /// For large responses, in bytes.
     pub responses: u64,
+    /// For connections, heads and small bodies while no large request is held, in bytes.
+    max_connections: u64,
+    /// For connections and large requests together, in bytes.
+    together: u64,
 }
 
 impl Shares {
@@ -27,11 +29,20 @@
         };
         let bytes = megabytes * MEGABYTE;
         Self {
-            connections: bytes / 4,
-            requests: bytes / 8,
+            requests: bytes * 3 / 8,
             responses: bytes / 8,
+            max_connections: bytes / 4,
+            together: bytes / 2,
         }
     }
+
+    /// For connections, heads and small bodies while large requests hold `requests`, in bytes. An
+    /// eighth of the memory is left for them in any case.
+    #[must_use]
+    pub fn connections(&self, requests: u64) -> u64 {
+        let held = requests.min(self.requests);
+        self.max_connections.min(self.together - held)
+    }
 }
 
 impl Default for Shares {
--- a/crates/cloverpost/src/gateway/buffers.rs
+++ b/crates/cloverpost/src/gateway/buffers.rs
@@ -61,6 +61,13 @@
         permit.ok().map(|permit| Reservation(Some(permit)))
     }
 
+    /// Memory that is reserved, in bytes.
+    #[must_use]
+    pub fn held(&self) -> u64 {
+        let free = self.free.available_permits();
+        ((self.units as usize).saturating_sub(free) * UNIT_BYTES) as u64
+    }
+
     /// Whether a reservation waits for others.
     #[must_use]
     pub fn is_contended(&self) -> bool {
--- a/crates/cloverpost/src/gateway/clients.rs
+++ b/crates/cloverpost/src/gateway/clients.rs
@@ -10,11 +10,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use cloverpost_core::clients::{Connection, Limits, Outcome, Register, Stage};
+use cloverpost_core::clients::{self, Connection, Limits, Outcome, Register, Stage};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
 use tokio::time::{MissedTickBehavior, interval};
 
+use crate::gateway::buffers::Buffers;
 use crate::gateway::metrics;
 use crate::socket;
 
@@ -58,6 +59,8 @@
     listener: &'static str,
     state: Mutex<State>,
     metrics: metrics::Listener,
+    /// Memory that the connections share with large requests.
+    shared: Option<(clients::Shares, Buffers)>,
 }
 
 #[derive(Debug)]
@@ -85,6 +88,28 @@
     /// Creates the connections of the listener named `listener`.
     #[must_use]
     pub fn new(listener: &'static str, limits: Limits, metrics: &metrics::Clients) -> Self {
+        Self::build(listener, limits, metrics, None)
+    }
+
+    /// Creates the connections of callers on a VM with `descriptors` file descriptors. They share memory
+    /// with the large `requests`.
+    #[must_use]
+    pub fn of_callers(
+        descriptors: u32,
+        memory: clients::Shares,
+        requests: Buffers,
+        metrics: &metrics::Clients,
+    ) -> Self {
+        let limits = Limits::of_callers(descriptors, memory.connections(0));
+        Self::build("callers", limits, metrics, Some((memory, requests)))
+    }
+
+    fn build(
+        listener: &'static str,
+        limits: Limits,
+        metrics: &metrics::Clients,
+        shared: Option<(clients::Shares, Buffers)>,
+    ) -> Self {
         Self(Arc::new(Inner {
             listener,
             state: Mutex::new(State {
@@ -94,13 +119,14 @@
                 late: 0,
             }),
             metrics: metrics.listener(listener),
+            shared,
         }))
     }
 
     /// Adds a connection, for which others may be closed; `None` if there is no room for it.
     #[must_use]
     pub fn open(&self) -> Option<Arc<Client>> {
-        let mut state = self.state();
+        let mut state = self.limited_state();
         let (connection, outcome) = state.register.open(NEW_BYTES);
         self.record(&mut state, &outcome);
         if !outcome.is_kept {
@@ -154,6 +180,16 @@
         }
     }
 
+    /// The state, with the limit of memory that large requests leave.
+    fn limited_state(&self) -> MutexGuard<'_, State> {
+        let mut state = self.state();
+        if let Some((shares, requests)) = &self.0.shared {
+            let bytes = shares.connections(requests.held());
+            state.register.set_max_bytes(bytes);
+        }
+        state
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -294,7 +330,7 @@
             stage = Stage::Blocked;
             bytes += socket::BUFFER_BYTES as u64;
         }
-        let mut all = self.clients.state();
+        let mut all = self.clients.limited_state();
         let outcome = all.register.set(self.connection, stage, bytes);
         self.clients.record(&mut all, &outcome);
         if !outcome.is_kept {
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    admission, balance, budget, clients, directory, escalation, exposure, id, path, poison, quota,
-    throttle, time,
+    admission, balance, budget, directory, escalation, exposure, id, path, poison, quota, throttle,
+    time,
 };
 use tokio::sync::{Notify, watch};
 
@@ -127,8 +127,9 @@
         let startup = Waiters::new(settings.startup);
         let metrics = Metrics::new();
         let memory = settings.memory;
-        let limits = clients::Limits::of_callers(settings.max_descriptors, memory.connections);
-        let callers = Clients::new("callers", limits, &metrics.clients);
+        let uploads = Buffers::new(memory.requests);
+        let descriptors = settings.max_descriptors;
+        let callers = Clients::of_callers(descriptors, memory, uploads.clone(), &metrics.clients);
         Arc::new(Self {
             settings: ArcSwap::from_pointee(settings),
             codec,
@@ -137,7 +138,7 @@
             is_routable: watch::Sender::new(false),
             pool: Pool::new(clock, metrics.connections.open.clone()),
             buffers: Buffers::new(memory.responses),
-            uploads: Buffers::new(memory.requests),
+            uploads,
             callers,
             links: OnceLock::new(),
             peers: ArcSwap::default(),
