fix(cloverpost): connections wait to be accepted instead of being dropped

Cause: the listeners had room for 128 connections that are not accepted yet. The kernel drops the first packet of others, which their clients send again after 1 s, when the same crowd does so too.

Evidence: the ordinary requests name the step at which they failed now: `connect`, 1.5 s, as the crowd starts.

Change: the backlog is as large as an eighth of the memory allows, at 4 KiB each (2,685 connections with 88 MB), at most the descriptors; 1,024 for operators.

--- a/crates/cloverpost-core/src/clients/mod.rs
+++ b/crates/cloverpost-core/src/clients/mod.rs
@@ -15,5 +15,5 @@
 pub use connection::Connection;
 pub use limits::Limits;
 pub use register::{Outcome, Register};
-pub use shares::Shares;
+pub use shares::{PENDING_BYTES, Shares};
 pub use stage::Stage;
--- a/crates/cloverpost-core/src/clients/shares.rs
+++ b/crates/cloverpost-core/src/clients/shares.rs
@@ -2,10 +2,12 @@
 
 /// Bytes of a megabyte in settings.
 const MEGABYTE: u64 = 1_000_000;
+/// Bytes that a client may send before its connection is accepted.
+pub const PENDING_BYTES: u64 = 4 * 1024;
 /// Memory of a VM that does not state it, in megabytes.
 const DEFAULT_MEGABYTES: u64 = 128;
 
-/// The parts of a VM's memory that clients may take, five eighths in all. The rest is for the process
+/// The parts of a VM's memory that clients may take, three quarters in all. The rest is for the process
 /// itself: tables, connections to upstreams and other VMs, and what the allocator does not return.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shares {
@@ -13,6 +15,8 @@
     pub requests: u64,
     /// For large responses, in bytes.
     pub responses: u64,
+    /// For what arrives on connections that are not accepted yet, in bytes.
+    pending: u64,
     /// For connections, heads and small bodies while no large request is held, in bytes.
     max_connections: u64,
     /// For connections and large requests together, in bytes.
@@ -31,11 +35,21 @@
         Self {
             requests: bytes * 3 / 8,
             responses: bytes / 8,
+            pending: bytes / 8,
             max_connections: bytes / 4,
             together: bytes / 2,
         }
     }
 
+    /// Maximum number of connections that wait to be accepted by a process with `descriptors`. When it
+    /// is reached, the kernel drops the first packet of a connection, which its client sends again
+    /// after a second.
+    #[must_use]
+    pub fn backlog(&self, descriptors: u32) -> u32 {
+        let max = u32::try_from(self.pending / PENDING_BYTES).unwrap_or(u32::MAX);
+        max.min(descriptors)
+    }
+
     /// For connections, heads and small bodies while large requests hold `requests`, in bytes. An
     /// eighth of the memory is left for them in any case.
     #[must_use]
--- a/crates/cloverpost/src/gateway/operator_server.rs
+++ b/crates/cloverpost/src/gateway/operator_server.rs
@@ -36,6 +36,8 @@
     connections: 64,
     bytes: 4 * 1024 * 1024,
 };
+/// Maximum number of connections that wait to be accepted.
+pub const BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Multiple of the time that it took to render metrics for which they are not rendered again.
--- a/crates/cloverpost/src/gateway/server.rs
+++ b/crates/cloverpost/src/gateway/server.rs
@@ -1,8 +1,6 @@
 //! HTTP server for callers.
 
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,12 +33,6 @@
 /// Largest number of fields that hyper's table of headers can hold, with a margin.
 const MAX_FIELDS: usize = 24_000;
 
-/// Binds `address`. Tokio sets `SO_REUSEADDR`, so a restarted process can bind the
-/// port of its predecessor.
-pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 /// Serves callers on `listener` until the VM is closing and every connection has
 /// ended.
 pub async fn run<C: Codec>(listener: TcpListener, shared: Arc<Shared<C>>) {
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -77,10 +77,10 @@
         store: S,
         keys: peer::Keys,
     ) -> Result<Self, Error> {
-        let caller_listener = bind("caller-addr", settings.caller_addr).await?;
-        let operator_listener = bind("operator-addr", settings.operator_addr).await?;
-        socket::limit_backlog(&caller_listener);
-        socket::limit_backlog(&operator_listener);
+        let backlog = settings.memory.backlog(settings.max_descriptors);
+        let caller_listener = listen("caller-addr", settings.caller_addr, backlog)?;
+        let backlog = operator_server::BACKLOG;
+        let operator_listener = listen("operator-addr", settings.operator_addr, backlog)?;
         let operator_addr = operator_listener.local_addr().map_err(Error::System)?;
         let shared = Shared::new(settings, codec);
         tokio::spawn(operator_server::run(
@@ -89,8 +89,7 @@
             shared.clone(),
         ));
         if let Some(address) = shared.settings.load().metrics_addr {
-            let metrics = bind("metrics-addr", address).await?;
-            socket::limit_backlog(&metrics);
+            let metrics = listen("metrics-addr", address, backlog)?;
             tokio::spawn(operator_server::run("metrics", metrics, shared.clone()));
         }
         if let Some(file) = file {
@@ -171,9 +170,9 @@
     }
 }
 
-async fn bind(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
-    let bound = server::bind(address).await;
-    bound.map_err(|error| Error::Bind(setting, address, error))
+fn listen(setting: &'static str, address: SocketAddr, backlog: u32) -> Result<TcpListener, Error> {
+    let listener = socket::listen(address, backlog);
+    listener.map_err(|error| Error::Bind(setting, address, error))
 }
 
 /// Starts the control thread with the peer links; returns this VM's member row. The thread ends
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -1,9 +1,12 @@
 //! Socket options.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use cloverpost_core::clients::PENDING_BYTES;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Timeouts after which a connection to an unreachable peer is closed.
 ///
@@ -42,14 +45,19 @@
 /// Size of small socket buffers, which hold a request with a small body or a short response.
 const SMALL_BUFFER_BYTES: usize = 32 * 1024;
 
-/// Size of the buffers of connections that are not accepted yet, of which there may be a thousand.
-const BACKLOG_BUFFER_BYTES: usize = 8 * 1024;
-
-/// Limits the kernel's memory for requests on connections that `listener` has not accepted yet. The
-/// buffer of a connection can be enlarged afterwards.
-pub fn limit_backlog(listener: &TcpListener) {
+/// Listens on `address` for clients, of which at most `backlog` wait to be accepted. The kernel holds
+/// [`PENDING_BYTES`] for each of them; the buffer of a connection can be enlarged afterwards. A
+/// restarted process can bind the port of its predecessor.
+pub fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
     // Without the limit, the kernel chooses the size.
-    let _ = SockRef::from(listener).set_recv_buffer_size(BACKLOG_BUFFER_BYTES);
+    let _ = socket.set_recv_buffer_size(PENDING_BYTES as u32);
+    socket.bind(address)?;
+    socket.listen(backlog)
 }
 
 /// Limits the kernel's memory for requests of the client of `stream` that are not read.
