fix(cloverpost): crowds at the readiness check do not take a VM out of service

What callers saw: a crowd at the listener of readiness and metrics leaves ordinary requests alone, but the balancer's checks were not answered, so it would send the VM no more connections after two of them.

Cause: this listener has 64 connections. It accepted without a pause, so 64 later ones displaced a check before its request was read. And a connection that has served a request counted as younger than a new one, so clients that send without end kept theirs.

Change: 128 connections, accepted by 16 in a turn, which are closed in order of arrival: each has the same time, whatever it sends. The kernel's buffer for their responses is smaller (16 KiB), and counts as what it is.

--- a/crates/cloverpost-core/src/clients/mod.rs
+++ b/crates/cloverpost-core/src/clients/mod.rs
@@ -8,12 +8,14 @@
 
 mod connection;
 mod limits;
+mod order;
 mod register;
 mod shares;
 mod stage;
 
 pub use connection::Connection;
 pub use limits::Limits;
+pub use order::Order;
 pub use register::{Outcome, Register};
 pub use shares::{PENDING_BYTES, Shares};
 pub use stage::Stage;
--- a/crates/cloverpost-core/src/clients/register.rs
+++ b/crates/cloverpost-core/src/clients/register.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::clients::{Connection, Limits, Stage};
+use crate::clients::{Connection, Limits, Order, Stage};
 
 /// What follows a change of a connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -17,6 +17,7 @@
 #[derive(Clone, Debug)]
 pub struct Register {
     limits: Limits,
+    order: Order,
     next: Connection,
     connections: BTreeMap<Connection, Holding>,
     /// The connections that may be closed, in that order.
@@ -47,9 +48,10 @@
 impl Register {
     /// Creates an empty register.
     #[must_use]
-    pub fn new(limits: Limits) -> Self {
+    pub fn new(limits: Limits, order: Order) -> Self {
         Self {
             limits,
+            order,
             next: Connection::default(),
             connections: BTreeMap::new(),
             victims: BTreeSet::new(),
@@ -174,7 +176,7 @@
 
     fn insert(&mut self, connection: Connection, holding: Holding) {
         if holding.stage.may_close() {
-            self.victims.insert(holding.rank(connection));
+            self.victims.insert(holding.rank(connection, self.order));
         }
         self.bytes += holding.bytes;
         self.connections.insert(connection, holding);
@@ -182,17 +184,21 @@
 
     fn remove(&mut self, connection: Connection) -> Option<Holding> {
         let holding = self.connections.remove(&connection)?;
-        self.victims.remove(&holding.rank(connection));
+        self.victims.remove(&holding.rank(connection, self.order));
         self.bytes -= holding.bytes;
         Some(holding)
     }
 }
 
 impl Holding {
-    const fn rank(&self, connection: Connection) -> Rank {
+    const fn rank(&self, connection: Connection, order: Order) -> Rank {
+        let (age, change) = match order {
+            Order::Stage => (self.since + self.stage.grace(), self.change),
+            Order::Arrival => (0, 0),
+        };
         Rank {
-            age: self.since + self.stage.grace(),
-            change: self.change,
+            age,
+            change,
             connection,
         }
     }
--- a/crates/cloverpost-core/tests/behaviour/clients/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/clients/mod.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use cloverpost_core::clients::{Connection, Limits, PENDING_BYTES, Register, Shares, Stage};
+use cloverpost_core::clients::{Connection, Limits, Order, PENDING_BYTES, Register, Shares, Stage};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -21,7 +21,7 @@
 // Guards against clients that connect and send nothing, and so keep others from connecting.
 #[test]
 fn the_oldest_of_too_many_silent_connections_is_closed() {
-    let mut register = Register::new(LIMITS);
+    let mut register = Register::new(LIMITS, Order::Stage);
     let connections: Vec<_> = (0..10).map(|_| open(&mut register)).collect();
     let (_, outcome) = register.open(NEW_BYTES);
     assert!(outcome.is_kept);
@@ -38,7 +38,7 @@
 #[case::unread(Stage::Blocked)]
 #[case::waiting(Stage::Waiting)]
 fn a_slow_client_is_closed_before_one_that_has_just_connected(#[case] stage: Stage) {
-    let mut register = Register::new(LIMITS);
+    let mut register = Register::new(LIMITS, Order::Stage);
     let slow: Vec<_> = (0..4).map(|_| open(&mut register)).collect();
     for connection in &slow {
         assert!(register.set(*connection, stage, 20).is_kept);
@@ -52,7 +52,7 @@
 // Guards against clients that send nothing and displace those that have been served.
 #[test]
 fn a_connection_that_has_served_a_request_outlasts_newer_ones() {
-    let mut register = Register::new(LIMITS);
+    let mut register = Register::new(LIMITS, Order::Stage);
     let idle = open(&mut register);
     assert!(register.set(idle, Stage::Busy, 10).is_kept);
     assert!(register.set(idle, Stage::Idle, 5).is_kept);
@@ -68,7 +68,7 @@
 // Guards against cutting requests that are being served.
 #[test]
 fn a_connection_that_serves_a_request_is_not_closed_for_others() {
-    let mut register = Register::new(LIMITS);
+    let mut register = Register::new(LIMITS, Order::Stage);
     let busy: Vec<_> = (0..10).map(|_| open(&mut register)).collect();
     for connection in &busy {
         assert!(register.set(*connection, Stage::Busy, 10).is_kept);
@@ -85,7 +85,7 @@
 // Guards against heads that take for ever, and against closing one within its time.
 #[test]
 fn a_stage_ends_after_its_time() {
-    let mut register = Register::new(LIMITS);
+    let mut register = Register::new(LIMITS, Order::Stage);
     let (head, silent) = (open(&mut register), open(&mut register));
     assert!(register.set(head, Stage::Head, 20).is_kept);
     let limit = |stage| match stage {
@@ -124,7 +124,7 @@
 // Guards against a limit that stays above what is left beside large requests.
 #[test]
 fn a_lower_limit_applies_at_the_next_change() {
-    let mut register = Register::new(LIMITS);
+    let mut register = Register::new(LIMITS, Order::Stage);
     let connections: Vec<_> = (0..4).map(|_| open(&mut register)).collect();
     for connection in &connections {
         assert!(register.set(*connection, Stage::Head, 20).is_kept);
@@ -135,6 +135,23 @@
     assert_eq!(outcome.closed, [connections[0], connections[1]]);
 }
 
+// Guards against clients that keep others from connecting by requests without end or unread responses.
+#[rstest]
+#[case::idle(Stage::Idle)]
+#[case::unread(Stage::Blocked)]
+#[case::new_head(Stage::Head)]
+fn connections_are_closed_in_order_of_arrival(#[case] stage: Stage) {
+    let mut register = Register::new(LIMITS, Order::Arrival);
+    let first: Vec<_> = (0..10).map(|_| open(&mut register)).collect();
+    for connection in &first[..9] {
+        assert!(register.set(*connection, Stage::Busy, 5).is_kept);
+        assert!(register.set(*connection, stage, 5).is_kept);
+    }
+    let (_, outcome) = register.open(NEW_BYTES);
+    assert!(outcome.is_kept);
+    assert_eq!(outcome.closed, [first[0]]);
+}
+
 /// An event of a connection.
 #[derive(Clone, Copy, Debug)]
 enum Event {
@@ -169,7 +186,7 @@
     // are closed but not named, which would stay open.
     #[test]
     fn limits_hold_and_each_closed_connection_is_named(events in events()) {
-        let mut register = Register::new(LIMITS);
+        let mut register = Register::new(LIMITS, Order::Stage);
         let mut all = Vec::new();
         let mut kept = HashMap::new();
         for event in events {
--- a/crates/cloverpost/src/gateway/clients.rs
+++ b/crates/cloverpost/src/gateway/clients.rs
@@ -10,7 +10,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use cloverpost_core::clients::{self, Connection, Limits, Outcome, Register, Stage};
+use cloverpost_core::clients::{self, Connection, Limits, Order, Outcome, Register, Stage};
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::sync::Notify;
 use tokio::time::{MissedTickBehavior, interval};
@@ -59,6 +59,8 @@
     listener: &'static str,
     state: Mutex<State>,
     metrics: metrics::Listener,
+    /// Memory of the kernel for a response that is not read.
+    unread_bytes: u64,
     /// Memory that the connections share with large requests.
     shared: Option<(clients::Shares, Buffers)>,
 }
@@ -85,10 +87,15 @@
 }
 
 impl Clients {
-    /// Creates the connections of the listener named `listener`.
+    /// Creates the connections of the listener for operators named `listener`.
     #[must_use]
-    pub fn new(listener: &'static str, limits: Limits, metrics: &metrics::Clients) -> Self {
-        Self::build(listener, limits, metrics, None)
+    pub fn of_operators(
+        listener: &'static str,
+        limits: Limits,
+        metrics: &metrics::Clients,
+    ) -> Self {
+        let register = Register::new(limits, Order::Arrival);
+        Self::build(listener, register, metrics, None)
     }
 
     /// Creates the connections of callers on a VM with `descriptors` file descriptors. They share memory
@@ -101,24 +108,29 @@
         metrics: &metrics::Clients,
     ) -> Self {
         let limits = Limits::of_callers(descriptors, memory.connections(0));
-        Self::build("callers", limits, metrics, Some((memory, requests)))
+        let register = Register::new(limits, Order::Stage);
+        Self::build("callers", register, metrics, Some((memory, requests)))
     }
 
     fn build(
         listener: &'static str,
-        limits: Limits,
+        register: Register,
         metrics: &metrics::Clients,
         shared: Option<(clients::Shares, Buffers)>,
     ) -> Self {
         Self(Arc::new(Inner {
             listener,
             state: Mutex::new(State {
-                register: Register::new(limits),
+                register,
                 signals: HashMap::new(),
                 closed: 0,
                 late: 0,
             }),
             metrics: metrics.listener(listener),
+            unread_bytes: match shared {
+                Some(_) => socket::BUFFER_BYTES as u64,
+                None => socket::SHORT_RESPONSE_BYTES as u64,
+            },
             shared,
         }))
     }
@@ -328,7 +340,7 @@
         let mut bytes = CONNECTION_BYTES + activity.request_bytes;
         if activity.is_blocked {
             stage = Stage::Blocked;
-            bytes += socket::BUFFER_BYTES as u64;
+            bytes += self.clients.0.unread_bytes;
         }
         let mut all = self.clients.limited_state();
         let outcome = all.register.set(self.connection, stage, bytes);
--- a/crates/cloverpost/src/gateway/operator_server.rs
+++ b/crates/cloverpost/src/gateway/operator_server.rs
@@ -33,9 +33,12 @@
 const HEAD_BYTES: usize = 8 * 1024;
 /// Limits on the connections. A probe a second and some collectors need a few.
 const LIMITS: Limits = Limits {
-    connections: 64,
-    bytes: 4 * 1024 * 1024,
+    connections: 128,
+    bytes: 6 * 1024 * 1024,
 };
+/// Connections that are accepted before others take a turn, a small part of the limit. Otherwise later
+/// ones displace a connection before its request is read.
+const MAX_ACCEPTED_IN_TURN: usize = 16;
 /// Maximum number of connections that wait to be accepted.
 pub const BACKLOG: u32 = 1024;
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
@@ -45,12 +48,18 @@
 
 /// Serves readiness and metrics on `listener`, which metrics and the log call `name`.
 pub async fn run<C: Codec>(name: &'static str, listener: TcpListener, shared: Arc<Shared<C>>) {
-    let clients = Clients::new(name, LIMITS, &shared.metrics.clients);
+    let clients = Clients::of_operators(name, LIMITS, &shared.metrics.clients);
     tokio::spawn(clients.clone().close_late(|| TIMEOUTS));
     let page = Arc::<Page>::default();
+    let mut accepted_in_turn = 0;
     loop {
+        if accepted_in_turn == MAX_ACCEPTED_IN_TURN {
+            accepted_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
         match listener.accept().await {
             Ok((stream, _peer)) => {
+                accepted_in_turn += 1;
                 if let Some(client) = clients.open() {
                     tokio::spawn(serve(shared.clone(), page.clone(), stream, client));
                 }
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -42,9 +42,12 @@
 /// the memory of the VM while the caller does not read.
 pub const BUFFER_BYTES: usize = 128 * 1024;
 
-/// Size of small socket buffers, which hold a request with a small body or a short response.
+/// Size of small receive buffers, which hold a request with a small body.
 const SMALL_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Memory that the kernel takes for a short response.
+pub const SHORT_RESPONSE_BYTES: usize = 16 * 1024;
+
 /// Listens on `address` for clients, of which at most `backlog` wait to be accepted. The kernel holds
 /// [`PENDING_BYTES`] for each of them; the buffer of a connection can be enlarged afterwards. A
 /// restarted process can bind the port of its predecessor.
@@ -69,7 +72,7 @@
 /// Limits the kernel's memory for short responses that the client of `stream` has not read.
 pub fn limit_response_buffer(stream: &TcpStream) {
     // Without the limit, the kernel chooses the size.
-    let _ = SockRef::from(stream).set_send_buffer_size(SMALL_BUFFER_BYTES);
+    let _ = SockRef::from(stream).set_send_buffer_size(SHORT_RESPONSE_BYTES / 2);
 }
 
 /// Limits the kernel's memory for bytes that the peer of `stream` has not read.
