fix(cloverpost): idle connections leave room for new ones

Cause: a connection that has served a request outlasts new ones by 5 s, each request begins these anew, and all connections could be of that kind.

Change: once idle connections take more than three quarters of the connections or of their memory, the one that has been idle for longest is closed first. The test fails without it: the newest connections are closed.

--- a/crates/cloverpost-core/src/clients/register.rs
+++ b/crates/cloverpost-core/src/clients/register.rs
@@ -4,6 +4,11 @@
 
 use crate::clients::{Connection, Limits, Order, Stage};
 
+/// Part of the limits that idle connections may take before the oldest of them is closed first: three
+/// quarters. Clients that send requests without end would leave no room for new ones.
+const IDLE_FACTOR: u64 = 3;
+const IDLE_DIVISOR: u64 = 4;
+
 /// What follows a change of a connection.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Outcome {
@@ -20,8 +25,11 @@
     order: Order,
     next: Connection,
     connections: BTreeMap<Connection, Holding>,
-    /// The connections that may be closed, in that order.
-    victims: BTreeSet<Rank>,
+    /// The connections that may be closed and are not idle, in that order.
+    active: BTreeSet<Rank>,
+    /// The idle connections, in the order in which they are closed.
+    idle: BTreeSet<Rank>,
+    idle_bytes: u64,
     bytes: u64,
     /// Number of changes of stages.
     changes: u64,
@@ -54,7 +62,9 @@
             order,
             next: Connection::default(),
             connections: BTreeMap::new(),
-            victims: BTreeSet::new(),
+            active: BTreeSet::new(),
+            idle: BTreeSet::new(),
+            idle_bytes: 0,
             bytes: 0,
             changes: 0,
             ticks: 0,
@@ -169,14 +179,30 @@
     }
 
     fn close_first(&mut self) -> Option<Connection> {
-        let first = self.victims.first()?.connection;
+        let (active, idle) = (self.active.first(), self.idle.first());
+        let first = match idle {
+            Some(idle) if self.has_too_many_idle() => Some(idle),
+            _ => active.into_iter().chain(idle).min(),
+        };
+        let first = first?.connection;
         self.remove(first);
         Some(first)
     }
 
+    /// Whether idle connections leave too little room for new ones.
+    fn has_too_many_idle(&self) -> bool {
+        let is_over = |idle, max| idle * IDLE_DIVISOR > max * IDLE_FACTOR;
+        is_over(self.idle.len() as u64, self.limits.connections as u64)
+            || is_over(self.idle_bytes, self.limits.bytes)
+    }
+
     fn insert(&mut self, connection: Connection, holding: Holding) {
-        if holding.stage.may_close() {
-            self.victims.insert(holding.rank(connection, self.order));
+        let rank = holding.rank(connection, self.order);
+        if holding.stage == Stage::Idle {
+            self.idle.insert(rank);
+            self.idle_bytes += holding.bytes;
+        } else if holding.stage.may_close() {
+            self.active.insert(rank);
         }
         self.bytes += holding.bytes;
         self.connections.insert(connection, holding);
@@ -184,7 +210,12 @@
 
     fn remove(&mut self, connection: Connection) -> Option<Holding> {
         let holding = self.connections.remove(&connection)?;
-        self.victims.remove(&holding.rank(connection, self.order));
+        let rank = holding.rank(connection, self.order);
+        if self.idle.remove(&rank) {
+            self.idle_bytes -= holding.bytes;
+        } else {
+            self.active.remove(&rank);
+        }
         self.bytes -= holding.bytes;
         Some(holding)
     }
--- a/crates/cloverpost-core/tests/behaviour/clients/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/clients/mod.rs
@@ -135,6 +135,26 @@
     assert_eq!(outcome.closed, [connections[0], connections[1]]);
 }
 
+// Guards against clients that send requests without end, and so keep others from connecting.
+#[test]
+fn idle_connections_leave_room_for_new_ones() {
+    let mut register = Register::new(LIMITS, Order::Stage);
+    let idle: Vec<_> = (0..10).map(|_| open(&mut register)).collect();
+    for connection in &idle {
+        assert!(register.set(*connection, Stage::Busy, 5).is_kept);
+        assert!(register.set(*connection, Stage::Idle, 5).is_kept);
+    }
+    let new: Vec<_> = (0..3).map(|_| register.open(NEW_BYTES)).collect();
+    let closed: Vec<_> = new
+        .iter()
+        .flat_map(|(_, outcome)| &outcome.closed)
+        .collect();
+    assert_eq!(closed, [&idle[0], &idle[1], &idle[2]]);
+    for (connection, _) in new {
+        assert!(register.set(connection, Stage::Busy, 5).is_kept);
+    }
+}
+
 // Guards against clients that keep others from connecting by requests without end or unread responses.
 #[rstest]
 #[case::idle(Stage::Idle)]
