--- a/crates/cloverpost-core/src/clients/shares.rs
+++ b/crates/cloverpost-core/src/clients/shares.rs
@@ -3,7 +3,7 @@
 /// Bytes of a megabyte in settings.
 const MEGABYTE: u64 = 1_000_000;
 /// Bytes that a client may send before its connection is accepted.
-pub const PENDING_BYTES: u64 = 4 * 1024;
+pub const PENDING_BYTES: u32 = 4 * 1024;
 /// Memory of a VM that does not state it, in megabytes.
 const DEFAULT_MEGABYTES: u64 = 128;
 
@@ -46,7 +46,7 @@
     /// after a second.
     #[must_use]
     pub fn backlog(&self, descriptors: u32) -> u32 {
-        let max = u32::try_from(self.pending / PENDING_BYTES).unwrap_or(u32::MAX);
+        let max = u32::try_from(self.pending / u64::from(PENDING_BYTES)).unwrap_or(u32::MAX);
         max.min(descriptors)
     }
 
--- a/crates/cloverpost-core/tests/behaviour/clients/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/clients/mod.rs
@@ -112,7 +112,7 @@
     let shares = Shares::of_memory(megabytes);
     let memory = u64::from(if megabytes == 0 { 128 } else { megabytes }) * 1_000_000;
     for held in [0, shares.requests / 3, shares.requests / 2, shares.requests] {
-        let pending = u64::from(shares.backlog(u32::MAX)) * PENDING_BYTES;
+        let pending = u64::from(shares.backlog(u32::MAX)) * u64::from(PENDING_BYTES);
         let sum = shares.connections(held) + held + shares.responses + pending;
         assert!(sum * 4 <= memory * 3, "{shares:?}");
         assert!(shares.connections(held) * 8 >= memory);
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -58,7 +58,7 @@
     }?;
     socket.set_reuseaddr(true)?;
     // Without the limit, the kernel chooses the size.
-    let _ = socket.set_recv_buffer_size(PENDING_BYTES as u32);
+    let _ = socket.set_recv_buffer_size(PENDING_BYTES);
     socket.bind(address)?;
     socket.listen(backlog)
 }
