fix(cloverpost): readiness checks outlast a crowd also on a busy machine

What callers saw: beside other load (16 to 25 on 8 cores), two or three checks in a row were still missed beside heads that stop, endless heads and clients that ask for metrics: the VM would be taken out of service.

Cause: at the limit of 128 connections, later ones displaced a check within 6 ms, before its request had arrived from a busy client; or there was no room among the 1,024 that wait, and its first packet was dropped.

Change: at the limit, 16 connections are accepted in 2.5 ms, so each may stay for 20 ms. 4,096 may wait, with 1 KiB each instead of 4 KiB; one that has waited has its request with it as it is accepted. Below the limit nothing changes.

--- a/crates/cloverpost-core/src/clients/register.rs
+++ b/crates/cloverpost-core/src/clients/register.rs
@@ -88,6 +88,12 @@
         self.connections.is_empty()
     }
 
+    /// Whether the maximum number of connections is reached.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.len() >= self.limits.connections
+    }
+
     /// Memory of all connections, in bytes.
     #[must_use]
     pub const fn bytes(&self) -> u64 {
@@ -99,7 +105,7 @@
         let connection = self.next;
         self.next = connection.next();
         let mut closed = Vec::new();
-        while self.connections.len() >= self.limits.connections {
+        while self.is_full() {
             let Some(first) = self.close_first() else {
                 let is_kept = false;
                 return (connection, Outcome { closed, is_kept });
--- a/crates/cloverpost/src/gateway/clients.rs
+++ b/crates/cloverpost/src/gateway/clients.rs
@@ -135,6 +135,12 @@
         }))
     }
 
+    /// Whether a connection is closed for the next one.
+    #[must_use]
+    pub fn is_full(&self) -> bool {
+        self.state().register.is_full()
+    }
+
     /// Adds a connection, for which others may be closed; `None` if there is no room for it.
     #[must_use]
     pub fn open(&self) -> Option<Arc<Client>> {
--- a/crates/cloverpost/src/gateway/operator_server.rs
+++ b/crates/cloverpost/src/gateway/operator_server.rs
@@ -39,8 +39,12 @@
 /// Connections that are accepted before others take a turn, a small part of the limit. Otherwise later
 /// ones displace a connection before its request is read.
 const MAX_ACCEPTED_IN_TURN: usize = 16;
+/// Pause between two turns at the limit, which lets each connection stay for 20 ms at least.
+const PAUSE_AT_LIMIT: Duration = Duration::from_micros(2_500);
 /// Maximum number of connections that wait to be accepted.
-pub const BACKLOG: u32 = 1024;
+pub const BACKLOG: u32 = 4096;
+/// Bytes that a client may send before its connection is accepted: the head of a probe.
+pub const PENDING_BYTES: u32 = 1024;
 /// Delay after a failed accept, for instance when file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Multiple of the time that it took to render metrics for which they are not rendered again.
@@ -55,7 +59,11 @@
     loop {
         if accepted_in_turn == MAX_ACCEPTED_IN_TURN {
             accepted_in_turn = 0;
-            tokio::task::yield_now().await;
+            if clients.is_full() {
+                tokio::time::sleep(PAUSE_AT_LIMIT).await;
+            } else {
+                tokio::task::yield_now().await;
+            }
         }
         match listener.accept().await {
             Ok((stream, _peer)) => {
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -9,6 +9,7 @@
 use std::thread;
 use std::time::Duration;
 
+use cloverpost_core::clients;
 use cloverpost_core::directory::Member;
 use ractor::Actor;
 use tokio::net::TcpListener;
@@ -77,10 +78,12 @@
         store: S,
         keys: peer::Keys,
     ) -> Result<Self, Error> {
-        let backlog = settings.memory.backlog(settings.max_descriptors);
-        let caller_listener = listen("caller-addr", settings.caller_addr, backlog)?;
-        let backlog = operator_server::BACKLOG;
-        let operator_listener = listen("operator-addr", settings.operator_addr, backlog)?;
+        let caller_listener = {
+            let backlog = settings.memory.backlog(settings.max_descriptors);
+            let listener = socket::listen(settings.caller_addr, backlog, clients::PENDING_BYTES);
+            listener.map_err(|error| Error::Bind("caller-addr", settings.caller_addr, error))?
+        };
+        let operator_listener = listen_for_operators("operator-addr", settings.operator_addr)?;
         let operator_addr = operator_listener.local_addr().map_err(Error::System)?;
         let shared = Shared::new(settings, codec);
         tokio::spawn(operator_server::run(
@@ -89,7 +92,7 @@
             shared.clone(),
         ));
         if let Some(address) = shared.settings.load().metrics_addr {
-            let metrics = listen("metrics-addr", address, backlog)?;
+            let metrics = listen_for_operators("metrics-addr", address)?;
             tokio::spawn(operator_server::run("metrics", metrics, shared.clone()));
         }
         if let Some(file) = file {
@@ -170,8 +173,9 @@
     }
 }
 
-fn listen(setting: &'static str, address: SocketAddr, backlog: u32) -> Result<TcpListener, Error> {
-    let listener = socket::listen(address, backlog);
+fn listen_for_operators(setting: &'static str, address: SocketAddr) -> Result<TcpListener, Error> {
+    let (backlog, pending_bytes) = (operator_server::BACKLOG, operator_server::PENDING_BYTES);
+    let listener = socket::listen(address, backlog, pending_bytes);
     listener.map_err(|error| Error::Bind(setting, address, error))
 }
 
--- a/crates/cloverpost/src/socket.rs
+++ b/crates/cloverpost/src/socket.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use cloverpost_core::clients::PENDING_BYTES;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -49,16 +48,16 @@
 pub const SHORT_RESPONSE_BYTES: usize = 16 * 1024;
 
 /// Listens on `address` for clients, of which at most `backlog` wait to be accepted. The kernel holds
-/// [`PENDING_BYTES`] for each of them; the buffer of a connection can be enlarged afterwards. A
+/// `pending_bytes` for each of them; the buffer of a connection can be enlarged afterwards. A
 /// restarted process can bind the port of its predecessor.
-pub fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+pub fn listen(address: SocketAddr, backlog: u32, pending_bytes: u32) -> io::Result<TcpListener> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4(),
         SocketAddr::V6(_) => TcpSocket::new_v6(),
     }?;
     socket.set_reuseaddr(true)?;
     // Without the limit, the kernel chooses the size.
-    let _ = socket.set_recv_buffer_size(PENDING_BYTES);
+    let _ = socket.set_recv_buffer_size(pending_bytes);
     socket.bind(address)?;
     socket.listen(backlog)
 }
