feat(cloverpost): what a VM lacks of the newest configuration, and how far its control thread is behind

A configuration reached two VMs 5.5 s late, and no line or metric told which of three hypotheses held: a slow transfer, watchers that fell silent, or a control thread that stood still.

- `a newer configuration is known and not here yet` after a second: both versions, the bytes received, those discarded, and the peers that have it; `has the newest configuration again`; `control_late_configurations_total`.
- `the control thread is behind` and `control_queue_seconds`: how long the periodic timer waited in the queue.

--- a/crates/cloverpost-core/src/directory/fetch.rs
+++ b/crates/cloverpost-core/src/directory/fetch.rs
@@ -6,6 +6,7 @@
 //! prevent any fetch from completing.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::marker::PhantomData;
 
 use rand::seq::IteratorRandom;
@@ -57,6 +58,8 @@
     pending: PendingRequest,
     /// The preferred peer, set once peers were found to hold different rows for one version.
     preferred: Option<id::Vm>,
+    /// Bytes that were received and discarded.
+    discarded: usize,
     rows: PhantomData<fn() -> T>,
 }
 
@@ -67,11 +70,26 @@
             partial: None,
             pending: PendingRequest::default(),
             preferred: None,
+            discarded: 0,
             rows: PhantomData,
         }
     }
 }
 
+impl<T> fmt::Display for Fetch<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (received, len) = match &self.partial {
+            Some(partial) => (partial.bytes.len(), partial.len),
+            None => (0, 0),
+        };
+        let (holders, discarded) = (self.holders.len(), self.discarded);
+        write!(
+            f,
+            "{received} of {len} bytes, {discarded} discarded, {holders} peers"
+        )
+    }
+}
+
 impl<T: serde::de::DeserializeOwned> Fetch<T> {
     /// Records that `holder` has `version`.
     pub fn add_holder(&mut self, holder: Member, version: Version) {
@@ -170,7 +188,8 @@
         // Pieces of different versions or encodings cannot be combined. While upstreams leave,
         // peers may have the same newest row but otherwise different rows; alternating between
         // such peers would discard every piece, so one is preferred from now on.
-        if self.partial.take_if(|partial| !is_same(partial)).is_some() {
+        if let Some(discarded) = self.partial.take_if(|partial| !is_same(partial)) {
+            self.discarded += discarded.bytes.len();
             self.preferred = Some(from.clone());
             if piece.offset > 0 {
                 return false;
--- a/crates/cloverpost/src/gateway/command.rs
+++ b/crates/cloverpost/src/gateway/command.rs
@@ -1,6 +1,6 @@
 //! Messages to the control actor.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cloverpost_core::directory::{Member, Page, Piece, TableKind, Update};
 use cloverpost_core::poison::Fact;
@@ -56,6 +56,6 @@
     Rejections,
     /// Rollout writes finished.
     WritesDone(Vec<(Step, Result<(), Error>)>),
-    /// The periodic timer fired.
-    Tick,
+    /// The periodic timer fired at this time.
+    Tick(Instant),
 }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -5,6 +5,7 @@
 //! the newest version wins regardless of its source. Every change publishes a new view to the
 //! traffic thread.
 
+mod lag;
 mod peer_requests;
 mod peers;
 mod periodic;
@@ -18,7 +19,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use cloverpost_core::directory::{
     Configuration, Encodings, Era, Fetch, Image, Member, Upstream, Version,
@@ -107,6 +108,8 @@
     configuration_encodings: Encodings,
     /// The ongoing fetch of a newer configuration.
     configuration_fetch: Fetch<Configuration>,
+    /// Whether this VM lacks a configuration that it was told of.
+    lag: lag::Lag,
     /// The encoded upstream table, served to peers in pieces.
     upstream_encodings: Encodings,
     /// The ongoing fetch of the upstream table, used if the difference exceeds one message.
@@ -173,6 +176,7 @@
             requests: peer_requests::PeerRequests::default(),
             configuration_encodings: Encodings::default(),
             configuration_fetch: Fetch::default(),
+            lag: lag::Lag::default(),
             upstream_encodings: Encodings::default(),
             upstream_fetch: None,
             writes: writes::Writes::default(),
@@ -221,7 +225,7 @@
         }
         let shared = state.context.shared.clone();
         tokio::spawn(rejections::forward(shared, myself.clone()));
-        myself.send_interval(TICK, || Command::Tick);
+        myself.send_interval(TICK, || Command::Tick(Instant::now()));
         Ok(state)
     }
 
@@ -253,7 +257,10 @@
             Command::CrashFacts(notifications) => state.share_crash_facts(notifications),
             Command::Rejections => state.share_rejections(),
             Command::WritesDone(results) => state.handle_write_results(&myself, &results),
-            Command::Tick => state.tick(&myself),
+            Command::Tick(sent) => {
+                state.record_queue_time(sent.elapsed());
+                state.tick(&myself);
+            }
         }
         Ok(())
     }
--- a/crates/cloverpost/src/gateway/control/peer_requests.rs
+++ b/crates/cloverpost/src/gateway/control/peer_requests.rs
@@ -58,6 +58,8 @@
     ) {
         self.configuration_fetch
             .add_holder(from.clone(), changes.configuration);
+        let (held, now) = (self.image.configuration.version, self.now());
+        self.lag.tell(changes.configuration, held, now);
         if lacks_changes {
             self.requests.newer_peer = Some((from, changes));
         }
@@ -226,6 +228,8 @@
         self.is_told = true;
         let told = &mut self.requests.told_configuration;
         *told = update.configuration.max(*told);
+        let (held, now) = (self.image.configuration.version, self.now());
+        self.lag.tell(update.configuration, held, now);
         self.configuration_fetch
             .add_holder(peer.clone(), update.configuration);
         match update.upstreams_to_fetch {
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -16,6 +16,9 @@
 
 /// Interval between requests to random peers while the store is unavailable.
 const PEER_REQUEST_INTERVAL: Duration = Duration::from_millis(250);
+/// Time in the queue of the control thread that is logged. Heartbeats that wait longer look like
+/// silence.
+const LOGGED_QUEUE_TIME: Duration = Duration::from_millis(700);
 /// Interval between heartbeats to listeners.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
 /// Interval between evictions of expired upstream connections.
@@ -39,6 +42,20 @@
 const REGISTER_RETRY: Duration = Duration::from_secs(10);
 
 impl<C: Codec, S: Store> State<C, S> {
+    /// Records how long a command waited for the control thread.
+    pub(super) fn record_queue_time(&self, waited: Duration) {
+        self.context
+            .shared
+            .metrics
+            .peers
+            .queue_seconds
+            .observe(waited.as_secs_f64());
+        if waited > LOGGED_QUEUE_TIME {
+            let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
+            log::warn!(waited_ms; "the control thread is behind");
+        }
+    }
+
     pub(super) fn tick(&mut self, myself: &ActorRef<Command>) {
         let now = self.now();
         let retained = self.retained_upstreams.len();
@@ -46,6 +63,7 @@
         if self.retained_upstreams.len() != retained {
             self.publish();
         }
+        self.log_lag(now);
         self.end_restore(now);
         self.publish_first_view();
         let is_stale = now.since(self.last_store_contact) > STALE_AFTER;
--- a/crates/cloverpost/src/gateway/metrics/peers.rs
+++ b/crates/cloverpost/src/gateway/metrics/peers.rs
@@ -1,6 +1,9 @@
 //! Metrics of what VMs tell each other.
 
-use prometheus::{IntCounterVec, Opts, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry};
+
+/// Upper bounds of the buckets of queue times, in seconds.
+const QUEUE_BUCKETS: [f64; 6] = [0.01, 0.05, 0.2, 0.7, 1.5, 3.0];
 
 /// Metrics of what VMs tell each other.
 #[derive(Clone, Debug)]
@@ -9,6 +12,10 @@
     pub messages: IntCounterVec,
     /// Requests that were quarantined or released on this VM, by change.
     pub quarantine_changes: IntCounterVec,
+    /// Configurations that this VM lacked for more than a second.
+    pub late_configurations: IntCounter,
+    /// Time that ticks waited for the control thread, in seconds.
+    pub queue_seconds: Histogram,
 }
 
 impl Peers {
@@ -24,7 +31,18 @@
         );
         let counters =
             |opts, label| crate::metrics::register(registry, IntCounterVec::new(opts, &[label]));
+        let late = IntCounter::new(
+            "control_late_configurations_total",
+            "configurations that were known for over a second and not here",
+        );
+        let queue = HistogramOpts::new(
+            "control_queue_seconds",
+            "time that the periodic timer waited for the control thread",
+        );
+        let queue = queue.buckets(QUEUE_BUCKETS.to_vec());
         Self {
+            late_configurations: crate::metrics::register(registry, late),
+            queue_seconds: crate::metrics::register(registry, Histogram::with_opts(queue)),
             messages: counters(messages, "kind"),
             quarantine_changes: counters(changes, "change"),
         }
