fix(cloverpost): evidence on roll-outs goes to the largest VMs, at a bounded rate

Cause: all VMs send their counts and pinned sessions eight times a second to the three VMs that judge a roll-out, in four messages: some 9,000 a second to each of the three at 295 VMs, which also tell all VMs of the sessions. They were chosen by a hash of their names, so nearly always among those of 0.12 cores.

Their log shows heartbeats that look silent for 1.4 to 2.7 s and are 2 to 5 ms old at the next line: the control thread did not run. They follow the store in vain up to seven times, and answer look-ups in 40 to 56 ms (26 in the middle). They are quick again once the roll-out has ended. The others, also those with twice the traffic, are not late.

Change: the judges are chosen among the largest VMs, by the hash among equals; counts go out each 3 ms times the number of VMs, pinned sessions each 1 ms times it, 100 ms at least (as before up to 33 and 100 VMs). Both are bounded at 1,000 messages a second and kind.

Why it works: the work of a judge no longer grows with the number of VMs. Tests: aggregators_are_among_the_largest_vms (fails on the selection by hash), an_aggregator_receives_a_bounded_number_of_messages (new rule).

--- a/crates/cloverpost-core/src/exposure/aggregators.rs
+++ b/crates/cloverpost-core/src/exposure/aggregators.rs
@@ -1,28 +1,60 @@
 //! Selection of the VMs that aggregate rollout evidence, and the order in which VMs write
 //! the state of a rollout.
 
+use std::cmp::Reverse;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
+use crate::directory::{Member, Size};
 use crate::id;
 
 /// Number of VMs that aggregate the evidence of a rollout. Three tolerate one failed and
 /// one partitioned VM.
 pub const AGGREGATORS: usize = 3;
 
+/// Minimum interval between messages of a rollout to one receiver. The last stage of a rollout
+/// lasts only a second or two.
+const MIN_INTERVAL: Duration = Duration::from_millis(100);
+/// Rate of messages of one kind that an aggregator exchanges with all VMs, per second. A message
+/// takes 17 us of a core, so this is 1.7% of one.
+const MESSAGES_PER_SECOND: u32 = 1000;
+/// Number of messages with counts that a VM sends at a time.
+const COUNT_MESSAGES: u32 = 3;
+
 /// Returns the VMs among `members` that aggregate the evidence on `service`, by rank.
 /// Every VM with the same member list computes the same result.
 ///
 /// Evidence is sent only to these VMs; broadcasting it would take a number of messages
-/// quadratic in the number of VMs.
+/// quadratic in the number of VMs. The largest VMs are chosen, since all VMs send to them: a VM
+/// of 0.12 cores that aggregated the evidence of 294 VMs learnt of configurations and leaving
+/// upstreams seconds late.
 pub fn aggregators<'a>(
     service: &id::Pool,
-    members: impl Iterator<Item = &'a id::Vm>,
+    members: impl Iterator<Item = &'a Member>,
 ) -> Vec<&'a id::Vm> {
     let mut ranked: Vec<_> = members.collect();
-    ranked.sort_by_cached_key(|vm| rank(service, vm));
+    ranked.sort_by_cached_key(|one| Rank::new(service, &one.vm, one.size));
     ranked.truncate(AGGREGATORS);
-    ranked
+    ranked.into_iter().map(|one| &one.vm).collect()
+}
+
+/// Returns the interval at which each of `vms` VMs sends its counts to the aggregators.
+#[must_use]
+pub fn counts_interval(vms: u32) -> Duration {
+    interval(vms.saturating_mul(COUNT_MESSAGES))
+}
+
+/// Returns the interval at which each of `vms` VMs sends its pinned sessions to the aggregators,
+/// and these send them to all VMs.
+#[must_use]
+pub fn pins_interval(vms: u32) -> Duration {
+    interval(vms)
+}
+
+/// Returns the interval that limits the rate of `messages` messages.
+fn interval(messages: u32) -> Duration {
+    let spread = Duration::from_secs(1) * messages / MESSAGES_PER_SECOND;
+    spread.max(MIN_INTERVAL)
 }
 
 /// Write delay per rank among the aggregators.
@@ -44,11 +76,12 @@
 #[must_use]
 pub fn write_delay<'a>(
     service: &id::Pool,
-    members: impl Iterator<Item = &'a id::Vm>,
-    own: &id::Vm,
+    members: impl Iterator<Item = &'a Member>,
+    own: &Member,
 ) -> Duration {
-    let key = rank(service, own);
-    let before = members.filter(|vm| rank(service, vm) < key).count();
+    let rank = |one: &Member| Rank::new(service, &one.vm, one.size);
+    let own = rank(own);
+    let before = members.filter(|one| rank(one) < own).count();
     if before < AGGREGATORS {
         return AGGREGATOR_DELAY * u32::try_from(before).unwrap_or(u32::MAX);
     }
@@ -63,19 +96,25 @@
 #[must_use]
 pub fn completion_delay<'a>(
     service: &id::Pool,
-    members: impl Iterator<Item = &'a id::Vm> + Clone,
-    own: &id::Vm,
+    members: impl Iterator<Item = &'a Member> + Clone,
+    own: &Member,
 ) -> Duration {
-    if aggregators(service, members.clone()).contains(&own) {
+    if aggregators(service, members.clone()).contains(&&own.vm) {
         return Duration::ZERO;
     }
     write_delay(service, members, own)
 }
 
-fn rank(service: &id::Pool, vm: &id::Vm) -> u64 {
-    // `DefaultHasher::new()` uses fixed keys, so every VM computes the same rank.
-    let mut hasher = DefaultHasher::new();
-    service.hash(&mut hasher);
-    vm.hash(&mut hasher);
-    hasher.finish()
+/// Sort key of the VMs of a fleet: the largest first, in an order of its own for each service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank(Reverse<Size>, u64);
+
+impl Rank {
+    fn new(service: &id::Pool, vm: &id::Vm, size: Size) -> Self {
+        // `DefaultHasher::new()` uses fixed keys, so every VM computes the same rank.
+        let mut hasher = DefaultHasher::new();
+        service.hash(&mut hasher);
+        vm.hash(&mut hasher);
+        Self(Reverse(size), hasher.finish())
+    }
 }
--- a/crates/cloverpost-core/src/exposure/mod.rs
+++ b/crates/cloverpost-core/src/exposure/mod.rs
@@ -23,7 +23,9 @@
 mod tallies;
 mod tally;
 
-pub use aggregators::{AGGREGATORS, aggregators, completion_delay, write_delay};
+pub use aggregators::{
+    AGGREGATORS, aggregators, completion_delay, counts_interval, pins_interval, write_delay,
+};
 pub use allowance::Allowance;
 pub use comparison::{Comparison, MAX_FALSE_HALT_RATE};
 pub use key::{Key, Side, Span};
--- a/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/exposure/mod.rs
@@ -7,11 +7,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Rollout, Version};
+use cloverpost_core::directory::{Member, Rollout, Size, Version};
 use cloverpost_core::exposure::{
     Allowance, Pins, Sessions, Stage, Tally, aggregators, completion_delay, stage, write_delay,
 };
-use cloverpost_core::{id, time};
+use cloverpost_core::{exposure, id, time};
 use rstest::rstest;
 
 /// Maximum time between requests of a session.
@@ -282,10 +282,43 @@
     assert!(!pins.is_pinned(&rollout(7), 11));
 }
 
-/// Returns the names of `count` VMs.
-fn vms(count: usize) -> Vec<id::Vm> {
-    let names = (0..count).map(|one| format!("vm-{one}"));
-    names.map(|name| name.parse().unwrap()).collect()
+/// Returns `count` VMs of the same size.
+fn vms(count: usize) -> Vec<Member> {
+    let vm = |one: usize| Member {
+        vm: format!("vm-{one}").parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        size: Size::default(),
+    };
+    (0..count).map(vm).collect()
+}
+
+#[test]
+fn aggregators_are_among_the_largest_vms() {
+    // Guards against small VMs that learn of changes late since all VMs send them evidence.
+    let mut vms = vms(295);
+    for vm in vms.iter_mut().step_by(50) {
+        vm.size.core_percent = 50;
+    }
+    let found = aggregators(&"app".parse().unwrap(), vms.iter());
+    let is_large = |name: &&id::Vm| vms.iter().step_by(50).any(|vm| vm.vm == **name);
+    assert_eq!(found.iter().filter(|name| is_large(name)).count(), 3);
+}
+
+#[rstest]
+#[case::a_small_fleet(9, 300)]
+#[case::hundreds_of_vms(295, 1_000)]
+#[case::the_largest_fleet(630, 1_000)]
+fn an_aggregator_receives_a_bounded_number_of_messages(#[case] vms: u32, #[case] allowed: u32) {
+    // Guards against evidence of all VMs that takes up the processor of the VM that receives it.
+    let rounds = |interval: Duration| 1.0 / interval.as_secs_f64();
+    let counts = 3.0 * f64::from(vms) * rounds(exposure::counts_interval(vms));
+    let pins = f64::from(vms) * rounds(exposure::pins_interval(vms));
+    assert!(
+        counts <= f64::from(allowed) + 1.0,
+        "{counts} counts a second"
+    );
+    assert!(pins <= f64::from(allowed) + 1.0, "{pins} pins a second");
 }
 
 #[test]
@@ -311,7 +344,8 @@
     };
     assert_eq!((by(0), by(500), by(600), by(800)), (1, 3, 7, 15));
     assert_eq!(by(2_000), 300, "all VMs write if no other has");
-    assert_eq!(delay_of(aggregators[0]), Duration::ZERO);
+    let first = names.iter().find(|one| one.vm == *aggregators[0]);
+    assert_eq!(delay_of(first.unwrap()), Duration::ZERO);
 }
 
 #[test]
@@ -361,12 +395,10 @@
     // The store may reject the first two aggregators; the third must write at once to meet the
     // deadline.
     let service = "app".parse().unwrap();
-    let vms: Vec<id::Vm> = (0..66)
-        .map(|one| format!("vm-{one}").parse().unwrap())
-        .collect();
+    let vms = vms(66);
     let aggregators = aggregators(&service, vms.iter());
     for vm in &vms {
         let delay = completion_delay(&service, vms.iter(), vm);
-        assert_eq!(delay.is_zero(), aggregators.contains(&vm), "{vm}");
+        assert_eq!(delay.is_zero(), aggregators.contains(&&vm.vm), "{}", vm.vm);
     }
 }
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -96,7 +96,10 @@
     /// When store contact last resumed after a timeout.
     store_contact_resumed: Option<time::Moment>,
     last_eviction: time::Moment,
-    last_evidence: time::Moment,
+    /// When this VM last sent the counts of rollouts.
+    last_counts: time::Moment,
+    /// When this VM last sent the pinned sessions of rollouts.
+    last_pins: time::Moment,
     /// When this VM, as a watcher, last repeated the rate limits of upstreams.
     last_rate_limits: time::Moment,
     last_request: time::Moment,
@@ -168,7 +171,8 @@
             last_store_contact: time::Moment::default(),
             store_contact_resumed: None,
             last_eviction: time::Moment::default(),
-            last_evidence: time::Moment::default(),
+            last_counts: time::Moment::default(),
+            last_pins: time::Moment::default(),
             last_rate_limits: time::Moment::default(),
             last_request: time::Moment::default(),
             quarantine_requests: quarantine::Requests::default(),
--- a/crates/cloverpost/src/gateway/control/peers.rs
+++ b/crates/cloverpost/src/gateway/control/peers.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cloverpost_core::directory::{Member, Outline, Piece, Size, TableKind, Update};
-use cloverpost_core::{directory, exposure, id};
+use cloverpost_core::{directory, exposure, id, time};
 use cloverpost_wire::Message;
 use ractor::ActorRef;
 use rand::seq::IteratorRandom;
@@ -140,37 +140,55 @@
 
     /// Sends evidence and pinned sessions of rollouts in progress to the aggregators, which
     /// forward pinned sessions to all VMs. Drops the data of other rollouts.
-    pub(super) fn share_evidence(&self) {
+    pub(super) fn share_evidence(&mut self, now: time::Moment) {
         let open = rollouts::in_progress(&self.image);
         let shared = &self.context.shared;
         shared.evidence().retain(&open);
         shared.pins().retain(|rollout| open.contains(rollout));
         shared.tallies().retain(|rollout| open.contains(rollout));
-        for rollout in open {
-            self.share_evidence_for(&rollout);
+        let vms = shared.fleet().vms();
+        if now.since(self.last_counts) > exposure::counts_interval(vms) {
+            self.last_counts = now;
+            for (service, order) in &open {
+                self.share_counts(service, *order);
+            }
+        }
+        if now.since(self.last_pins) > exposure::pins_interval(vms) {
+            self.last_pins = now;
+            for rollout in &open {
+                self.share_pins(rollout);
+            }
         }
     }
 
-    pub(super) fn share_evidence_for(&self, rollout: &(id::Pool, directory::Version)) {
-        let shared = &self.context.shared;
+    fn share_counts(&self, service: &id::Pool, order: directory::Version) {
+        let digests = self.context.shared.evidence().digests(service, order);
+        let messages: Vec<_> = digests.into_iter().map(Message::Exposure).collect();
+        let aggregators = rollouts::aggregators(&self.image, service);
+        for target in self.peer_targets() {
+            if aggregators.contains(&&target.vm) {
+                for message in &messages {
+                    self.send(&target, message);
+                }
+            }
+        }
+    }
+
+    fn share_pins(&self, rollout: &(id::Pool, directory::Version)) {
+        let sessions = self.context.shared.pins().take_unsent(rollout);
+        if sessions.is_empty() {
+            return;
+        }
         let (service, order) = rollout;
-        let digests = shared.evidence().digests(service, *order);
-        let sessions = shared.pins().take_unsent(rollout);
         let aggregators = rollouts::aggregators(&self.image, service);
         let is_aggregator = aggregators.contains(&&self.context.own.vm);
-        let pinned = exposure::Message::Pinned {
+        let pinned = Message::Exposure(exposure::Message::Pinned {
             service: service.clone(),
             order: *order,
-            sessions: sessions.clone(),
-        };
-        let evidence: Vec<_> = digests.into_iter().map(Message::Exposure).collect();
-        let pinned = Message::Exposure(pinned);
+            sessions,
+        });
         for target in self.peer_targets() {
-            let target_aggregates = aggregators.contains(&&target.vm);
-            for message in evidence.iter().filter(|_| target_aggregates) {
-                self.send(&target, message);
-            }
-            if (target_aggregates || is_aggregator) && !sessions.is_empty() {
+            if is_aggregator || aggregators.contains(&&target.vm) {
                 self.send(&target, &pinned);
             }
         }
--- a/crates/cloverpost/src/gateway/control/periodic.rs
+++ b/crates/cloverpost/src/gateway/control/periodic.rs
@@ -23,9 +23,6 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(350);
 /// Interval between evictions of expired upstream connections.
 const EVICTION_INTERVAL: Duration = Duration::from_secs(2);
-/// Interval between evidence messages to the aggregators of a rollout. Its last stage lasts only a
-/// second or two.
-const EVIDENCE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without store contact after which peers are queried.
 const STALE_AFTER: Duration = Duration::from_secs(4);
 /// Initial backoff after a failed registration; doubles up to [`REGISTER_BACKOFF_MAX`].
@@ -99,10 +96,7 @@
             .metrics
             .ready
             .set(i64::from(self.context.shared.is_ready()));
-        if now.since(self.last_evidence) > EVIDENCE_INTERVAL {
-            self.last_evidence = now;
-            self.share_evidence();
-        }
+        self.share_evidence(now);
         self.advance_rollouts(myself);
     }
 
@@ -113,7 +107,12 @@
         let now = self.now();
         let reported = self.reported_recovery.map(|recovered| now.since(recovered));
         let order_age = exposure::order_age(self.time_since_recovery(), reported);
-        let steps = rollouts::due_steps(&self.context.shared, &self.image, order_age);
+        let steps = rollouts::due_steps(
+            &self.context.shared,
+            &self.image,
+            &self.context.own,
+            order_age,
+        );
         let steps = self.writes.begin(steps, now);
         if steps.is_empty() {
             return;
--- a/crates/cloverpost/src/gateway/rollouts.rs
+++ b/crates/cloverpost/src/gateway/rollouts.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use cloverpost_core::directory::{Era, Image, Order, Progress, State, Version, View};
+use cloverpost_core::directory::{Era, Image, Member, Order, Progress, State, Version, View};
 use cloverpost_core::exposure::Regression;
 use cloverpost_core::{directory, exposure, id};
 
@@ -49,16 +49,22 @@
 }
 
 /// Returns the writes that are due; `order_age` is the assumed age of a new order.
-pub fn due_steps<C: Codec>(shared: &Shared<C>, image: &Image, order_age: Duration) -> Vec<Step> {
+pub fn due_steps<C: Codec>(
+    shared: &Shared<C>,
+    image: &Image,
+    own: &Member,
+    order_age: Duration,
+) -> Vec<Step> {
     let orders = image.orders.rows.values();
     orders
-        .filter_map(|row| due_step(shared, image, &row.value, row.version, order_age))
+        .filter_map(|row| due_step(shared, image, own, &row.value, row.version, order_age))
         .collect()
 }
 
 fn due_step<C: Codec>(
     shared: &Shared<C>,
     image: &Image,
+    own: &Member,
     order: &Order,
     version: Version,
     order_age: Duration,
@@ -74,8 +80,7 @@
     let current = row
         .map(|row| &row.value)
         .filter(|progress| progress.belongs_to(order, version));
-    let vms = || image.members.rows.values().map(|row| &row.value.vm);
-    let own = &shared.settings.load().vm;
+    let vms = || image.members.rows.values().map(|row| &row.value);
     let Some(current) = current else {
         return Some(Step {
             progress: initial_progress(image, order, version, shared.store_now_ms(), order_age),
@@ -214,10 +219,8 @@
 
 /// Returns the VMs that aggregate the evidence on `service`.
 pub fn aggregators<'a>(image: &'a Image, service: &id::Pool) -> Vec<&'a id::Vm> {
-    exposure::aggregators(
-        service,
-        image.members.rows.values().map(|row| &row.value.vm),
-    )
+    let members = image.members.rows.values().map(|row| &row.value);
+    exposure::aggregators(service, members)
 }
 
 /// Returns the rollouts in progress.
