fix(cloverpost-core): configurations that were replaced are not kept in memory

Found by reading while the late configuration was traced; no caller was seen to be hurt by it. Each change moved the whole configuration before it to the 256 former rows that a table keeps to tell rows of a store's copy apart.

The number alone decides between configurations, so nothing asks for former ones; they are dropped.

--- a/crates/cloverpost-core/src/directory/image.rs
+++ b/crates/cloverpost-core/src/directory/image.rs
@@ -5,8 +5,8 @@
 use crate::directory::encoded::newest;
 use crate::directory::fetch::Fetched;
 use crate::directory::{
-    Change, Configuration, Era, Evacuation, Member, Order, Patch, Progress, Table, Upstream,
-    Version,
+    Change, Configuration, Era, Evacuation, Member, Order, Patch, Progress, Superseded, Table,
+    Upstream, Version,
 };
 
 /// A copy of all tables that a VM follows.
@@ -196,7 +196,10 @@
         };
         let version = version(&newest).unwrap_or_default();
         let row = Change { version, ..newest };
-        self.configuration.replace(vec![row], version)
+        let differs = self.configuration.replace(vec![row], version);
+        // The number alone decides between configurations, so former ones are not needed.
+        self.configuration.superseded = Superseded::default();
+        differs
     }
 
     /// Changes the orders, and assigns rollouts to the rows of orders that operators wrote again.
--- a/crates/cloverpost-core/tests/behaviour/directory/image.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/image.rs
@@ -68,6 +68,17 @@
     assert_eq!(image.configuration.rows["config"].value.number, 4);
 }
 
+#[test]
+fn configurations_that_were_replaced_are_not_kept() {
+    // Guards against memory that grows by a whole configuration with each change.
+    let mut image = Image::default();
+    for number in 1..400 {
+        image.apply(operators(number, number));
+    }
+    let kept = image.configuration.superseded.of("config").count();
+    assert_eq!(kept, 0);
+}
+
 #[test]
 fn a_peer_gets_only_the_tables_that_it_lacks() {
     let mut image = Image::default();
