fix(cloverpost-core): sums of slots and weights do not wrap around

An entry among the upstreams that states 4,294,967,295 slots can be read. The slots of its service then summed up to fewer than one honest upstream has (7 with another one of 8): what is rejected for want of room, and whether a service is lightly loaded, followed from that; with overflow checks the traffic task ends. Weights of a route have the same sum. Both tests failed before (attempt to add with overflow).

Slots saturate, weights are summed as they are used, as floating-point numbers.

--- a/crates/cloverpost-core/src/admission/gate.rs
+++ b/crates/cloverpost-core/src/admission/gate.rs
@@ -38,7 +38,8 @@
     /// lightly loaded.
     #[must_use]
     pub fn with_excess(self, service: &id::Pool, pool: &Pool) -> Self {
-        let slots = pool.upstreams.iter().map(|upstream| upstream.slots).sum();
+        let slots = pool.upstreams.iter().map(|upstream| upstream.slots);
+        let slots = slots.fold(0, u32::saturating_add);
         Self {
             admits_excess: self.register.fragile.is_light(service, slots, self.now),
             ..self
--- a/crates/cloverpost-core/src/balance/mod.rs
+++ b/crates/cloverpost-core/src/balance/mod.rs
@@ -126,7 +126,8 @@
         upstreams: impl Iterator<Item = &'a Arc<directory::Upstream>>,
     ) -> (u32, u32) {
         upstreams.fold((0, 0), |(used, slots), one| {
-            (used + self.load(&one.id).in_flight, slots + one.slots)
+            let used: u32 = used + self.load(&one.id).in_flight;
+            (used, slots.saturating_add(one.slots))
         })
     }
 
--- a/crates/cloverpost-core/src/directory/route.rs
+++ b/crates/cloverpost-core/src/directory/route.rs
@@ -49,8 +49,8 @@
     /// Selects the destination at `point`, from 0 to 1, of the cumulative weights.
     #[must_use]
     pub fn destination(&self, point: f64) -> Option<&Destination> {
-        let total: u32 = self.destinations.iter().map(|one| one.weight).sum();
-        let mut left = point * f64::from(total);
+        let weights = self.destinations.iter().map(|one| f64::from(one.weight));
+        let mut left = point * weights.sum::<f64>();
         let weighted = self.destinations.iter().filter(|one| one.weight > 0);
         let mut last = None;
         for destination in weighted {
--- a/crates/cloverpost-core/tests/behaviour/balance/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/balance/mod.rs
@@ -300,3 +300,18 @@
     let after = speed.decode_time(Some(&small), 400).as_secs_f64();
     assert!((after - decode_seconds).abs() < f64::EPSILON);
 }
+
+#[test]
+fn an_upstream_that_states_the_most_slots_does_not_hide_those_of_others() {
+    // Guards against a sum that wraps around, so that a service seems to have hardly any slots.
+    let with_slots = |id: &str, slots| {
+        Arc::new(directory::Upstream {
+            slots,
+            ..upstream(id, "a").as_ref().clone()
+        })
+    };
+    let upstreams = [with_slots("i-1", u32::MAX), with_slots("i-2", 8)];
+    let balancer = Balancer::new(Options::default());
+    let (_, slots) = balancer.occupancy(upstreams.iter());
+    assert!(slots >= 8, "{slots}");
+}
--- a/crates/cloverpost-core/tests/behaviour/directory/view.rs
+++ b/crates/cloverpost-core/tests/behaviour/directory/view.rs
@@ -1,10 +1,11 @@
 //! Upstreams and versions that may receive requests.
 
 use cloverpost_core::directory::{
-    self, Allowed, Exceptions, Image, Processes, Row, State, Upstream, Version, View,
+    self, Allowed, Destination, Exceptions, Image, Processes, Route, Row, State, Upstream, Version,
+    View,
 };
 
-use super::{configuration, order, progress, upstream};
+use super::{configuration, order, progress, route, upstream};
 
 fn row<T>(version: u64, value: T) -> Row<T> {
     Row {
@@ -254,3 +255,18 @@
     assert_eq!(ids(&pool(&other), Some(&pool(&one))), ["i-3"]);
     assert_eq!(ids(&pool(&one), None), ["i-1", "i-2"]);
 }
+
+#[test]
+fn destinations_share_requests_by_the_largest_weights() {
+    // Guards against a sum of weights that wraps around.
+    let destination = |service: &str| Destination {
+        service: service.parse().unwrap(),
+        weight: u32::MAX,
+    };
+    let route = Route {
+        destinations: vec![destination("app"), destination("other")],
+        ..route("r", "/r/")
+    };
+    let at = |point| route.destination(point).unwrap().service.as_str();
+    assert_eq!((at(0.25), at(0.75)), ("app", "other"));
+}
