fix(cloverpost): a response that the store's client cannot handle does not end following

Other operators reported that one odd entry among the upstreams ended machines again and again, or left them following the list no more. No entry that was tried ends a VM here, but a panic while a response is decoded ended the task that follows the table, without a line: the VM served on with the last configuration and upstreams, and told its peers, while other tables were answered, that it is up to date, so that they did not ask the store either.

--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -1,8 +1,10 @@
 //! Follows the store's tables through their change feeds.
 
+use std::panic::AssertUnwindSafe;
 use std::time::Duration;
 
 use cloverpost_core::directory::{Era, Page, Version};
+use futures_util::FutureExt;
 use ractor::ActorRef;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
@@ -120,7 +122,7 @@
         let wait = permit.long_poll_timeout(timing(self.topic, self.leave).wait);
         let mut era = self.era.clone();
         let result = tokio::select! {
-            result = self.store.follow(self.topic, version, wait) => result,
+            result = catch_panic(self.store.follow(self.topic, version, wait)) => result,
             // The store may leave this call unanswered until its wait is over.
             Ok(_) = era.wait_for(|era| *era > version.era()) => {
                 log::info!(topic = self.topic.as_str(), version:%; "the store came back from a copy; reading the whole table");
@@ -160,7 +162,7 @@
         let permit = self.breaker.acquire().await;
         let started = Instant::now();
         let after = loaded.as_ref().map(|(_, after)| after.as_str());
-        let result = self.store.read(self.topic, after).await;
+        let result = catch_panic(self.store.read(self.topic, after)).await;
         self.record_call(result.as_ref().err(), started);
         permit.record(result.is_ok());
         let read = match result {
@@ -241,3 +243,10 @@
         }
     }
 }
+
+/// Completes `call`. A response that the client cannot handle counts as malformed: a panic would end
+/// the follower, and this VM would tell its peers that it is up to date without hearing of changes.
+async fn catch_panic<T>(call: impl Future<Output = Result<T, Error>>) -> Result<T, Error> {
+    let result = AssertUnwindSafe(call).catch_unwind().await;
+    result.unwrap_or_else(|_panic| Err(Error::Malformed("the client panicked".to_owned())))
+}
