fix(cloverpost): a command that panics does not end the control thread

The command is dropped, counted (control_panics_total) and logged; the thread goes on. The VM's tables are replaced by the next page or patch, so what half of a command left behind does not stay.

--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -18,6 +18,7 @@
 mod writes;
 
 use std::collections::{BTreeSet, HashMap};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -111,6 +112,8 @@
     configuration_encodings: Encodings,
     /// The ongoing fetch of a newer configuration.
     configuration_fetch: Fetch<Configuration>,
+    /// Number of commands whose handling panicked.
+    panics: u64,
     /// Whether this VM lacks a configuration that it was told of.
     lag: lag::Lag,
     /// The encoded upstream table, served to peers in pieces.
@@ -180,6 +183,7 @@
             requests: peer_requests::PeerRequests::default(),
             configuration_encodings: Encodings::default(),
             configuration_fetch: Fetch::default(),
+            panics: 0,
             lag: lag::Lag::default(),
             upstream_encodings: Encodings::default(),
             upstream_fetch: None,
@@ -239,38 +243,56 @@
         command: Command,
         state: &mut State<C, S>,
     ) -> Result<(), ActorProcessingErr> {
+        // Without this, a panic at one command would end the actor, and the VM would serve on without
+        // hearing of any change.
+        let handled = catch_unwind(AssertUnwindSafe(|| state.handle(&myself, command)));
+        if handled.is_err() {
+            state.record_panic();
+        }
+        Ok(())
+    }
+}
+
+impl<C: Codec, S: Store> State<C, S> {
+    fn handle(&mut self, myself: &ActorRef<Command>, command: Command) {
         match command {
             Command::PageRead {
                 topic,
                 page,
                 is_full,
             } => {
-                state.apply_page(topic, *page, is_full);
-                state.request_from_watcher(&myself);
-                state.advance_rollouts(&myself);
+                self.apply_page(topic, *page, is_full);
+                self.request_from_watcher(myself);
+                self.advance_rollouts(myself);
             }
-            Command::StoreFailed { topic, error } => state.record_store_failure(topic, &error),
-            Command::PeerMessage(incoming) => state.handle_peer_message(&myself, *incoming),
+            Command::StoreFailed { topic, error } => self.record_store_failure(topic, &error),
+            Command::PeerMessage(incoming) => self.handle_peer_message(myself, *incoming),
             Command::PeerRequestDone {
                 peer,
                 took,
                 response,
             } => {
-                state.handle_peer_response(&myself, &peer, took, response);
+                self.handle_peer_response(myself, &peer, took, response);
             }
-            Command::CrashFacts(notifications) => state.share_crash_facts(notifications),
-            Command::Rejections => state.share_rejections(),
-            Command::WritesDone(results) => state.handle_write_results(&myself, &results),
+            Command::CrashFacts(notifications) => self.share_crash_facts(notifications),
+            Command::Rejections => self.share_rejections(),
+            Command::WritesDone(results) => self.handle_write_results(myself, &results),
             Command::Tick(sent) => {
-                state.record_queue_time(sent.elapsed());
-                state.tick(&myself);
+                self.record_queue_time(sent.elapsed());
+                self.tick(myself);
             }
         }
-        Ok(())
     }
-}
 
-impl<C: Codec, S: Store> State<C, S> {
+    /// Logs a panic while a command was handled; less and less often if it recurs.
+    fn record_panic(&mut self) {
+        self.context.shared.metrics.peers.panics.inc();
+        self.panics += 1;
+        if self.panics.is_power_of_two() {
+            log::error!(panics = self.panics; "the control thread dropped a command that it could not handle");
+        }
+    }
+
     pub(super) fn now(&self) -> time::Moment {
         self.context.shared.clock.now()
     }
--- a/crates/cloverpost/src/gateway/metrics/peers.rs
+++ b/crates/cloverpost/src/gateway/metrics/peers.rs
@@ -14,6 +14,8 @@
     pub quarantine_changes: IntCounterVec,
     /// Configurations that this VM lacked for more than a second.
     pub late_configurations: IntCounter,
+    /// Commands of the control thread that were dropped after a panic.
+    pub panics: IntCounter,
     /// Time that ticks waited for the control thread, in seconds.
     pub queue_seconds: Histogram,
 }
@@ -35,6 +37,10 @@
             "control_late_configurations_total",
             "configurations that were known for over a second and not here",
         );
+        let panics = IntCounter::new(
+            "control_panics_total",
+            "commands of the control thread that were dropped after a panic",
+        );
         let queue = HistogramOpts::new(
             "control_queue_seconds",
             "time that the periodic timer waited for the control thread",
@@ -42,6 +48,7 @@
         let queue = queue.buckets(QUEUE_BUCKETS.to_vec());
         Self {
             late_configurations: crate::metrics::register(registry, late),
+            panics: crate::metrics::register(registry, panics),
             queue_seconds: crate::metrics::register(registry, Histogram::with_opts(queue)),
             messages: counters(messages, "kind"),
             quarantine_changes: counters(changes, "change"),
