--- a/crates/cloverpost-core/src/directory/fetch.rs
+++ b/crates/cloverpost-core/src/directory/fetch.rs
@@ -6,8 +6,8 @@
 //! prevent any fetch from completing.
 //!
 //! A VM that has an earlier encoding of the table requests the [`Outline`] first, and then only
-//! pieces with chunks that it lacks. Sent whole, a configuration of 2,800 routes takes 180 kB for
-//! each change, and a change waits for the copies of those before it.
+//! pieces with chunks that it lacks. Otherwise each change would transfer the whole table, and wait
+//! for the transfers of those before it.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -86,7 +86,7 @@
     /// The preferred peer, set once peers were found to hold different rows for one version.
     preferred: Option<id::Vm>,
     base: Option<Base>,
-    /// What was received of a version that no peer has any more.
+    /// What was received of a version that the peers have replaced.
     leftover: Option<Assembly>,
     /// Whether a peer does not know outlines; tables are then fetched whole.
     is_outline_refused: bool,
@@ -150,8 +150,9 @@
         });
     }
 
-    /// The next request for an outline, for the same VM as in [`Self::next`]; `None` while a
-    /// response is pending, nothing newer is known, or pieces are to be requested.
+    /// The next request for an outline, of a VM in `zone` whose own table is complete up to `own`;
+    /// `None` while a response is pending or nothing newer is known, and if pieces can be requested
+    /// at once.
     pub fn next_outline(
         &mut self,
         now: time::Moment,
--- a/crates/cloverpost-core/src/directory/mod.rs
+++ b/crates/cloverpost-core/src/directory/mod.rs
@@ -12,6 +12,7 @@
 //! A [`View`] holds the indexes over one state of the image that the request path reads.
 
 mod assembly;
+mod chunk;
 mod configuration;
 pub mod encoded;
 mod era;
@@ -46,6 +47,7 @@
 pub mod watchers;
 
 pub use assembly::Assembly;
+pub use chunk::Chunk;
 pub use configuration::Configuration;
 pub use encoded::{Encoded, Encodings};
 pub use era::Era;
--- a/crates/cloverpost-core/src/directory/outline.rs
+++ b/crates/cloverpost-core/src/directory/outline.rs
@@ -7,25 +7,15 @@
 
 use fastcdc::v2020::FastCDC;
 
-use crate::directory::{Version, encoded};
+use crate::directory::{Chunk, Version, encoded};
 
 /// Minimum size of a chunk, in bytes; the last one may be smaller.
 const MIN_CHUNK_BYTES: usize = 256;
-/// Size of most chunks, in bytes: some ten routes. An outline is a hundredth of its table.
+/// Size of most chunks, in bytes. The outline takes about a hundredth of the table.
 const CHUNK_BYTES: usize = 1024;
 /// Maximum size of a chunk, in bytes.
 const MAX_CHUNK_BYTES: usize = 4096;
 
-/// A part of an encoded table.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(serde::Serialize, serde::Deserialize)]
-pub struct Chunk {
-    /// Size in bytes.
-    pub len: usize,
-    /// Digest of the bytes.
-    pub digest: u64,
-}
-
 /// The chunks of an encoded table, in order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(serde::Serialize, serde::Deserialize)]
@@ -44,9 +34,8 @@
     /// Size of the encoded table in bytes; `None` if it exceeds the maximum.
     #[must_use]
     pub fn table_len(&self) -> Option<usize> {
-        let lens = self.chunks.iter().map(|chunk| chunk.len);
-        let add = |sum: usize, len: usize| sum.checked_add(len);
-        let len = lens.into_iter().try_fold(0, add)?;
+        let mut lens = self.chunks.iter().map(|chunk| chunk.len);
+        let len = lens.try_fold(0, |sum: usize, len| sum.checked_add(len))?;
         (len <= encoded::MAX_TABLE_BYTES).then_some(len)
     }
 }
--- a/crates/cloverpost-core/src/exposure/aggregators.rs
+++ b/crates/cloverpost-core/src/exposure/aggregators.rs
@@ -15,8 +15,7 @@
 /// Minimum interval between messages of a rollout to one receiver. The last stage of a rollout
 /// lasts only a second or two.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
-/// Rate of messages of one kind that an aggregator exchanges with all VMs, per second. A message
-/// takes 17 us of a core, so this is 1.7% of one.
+/// Maximum rate of messages of one kind that an aggregator exchanges with all VMs, per second.
 const MESSAGES_PER_SECOND: u32 = 1000;
 /// Number of messages with counts that a VM sends at a time.
 const COUNT_MESSAGES: u32 = 3;
@@ -25,9 +24,8 @@
 /// Every VM with the same member list computes the same result.
 ///
 /// Evidence is sent only to these VMs; broadcasting it would take a number of messages
-/// quadratic in the number of VMs. The largest VMs are chosen, since all VMs send to them: a VM
-/// of 0.12 cores that aggregated the evidence of 294 VMs learnt of configurations and leaving
-/// upstreams seconds late.
+/// quadratic in the number of VMs. The largest VMs are chosen, since a small one could not process
+/// the messages of all VMs and would learn of other changes late.
 pub fn aggregators<'a>(
     service: &id::Pool,
     members: impl Iterator<Item = &'a Member>,
--- a/crates/cloverpost/src/gateway/control/mod.rs
+++ b/crates/cloverpost/src/gateway/control/mod.rs
@@ -243,8 +243,7 @@
         command: Command,
         state: &mut State<C, S>,
     ) -> Result<(), ActorProcessingErr> {
-        // Without this, a panic at one command would end the actor, and the VM would serve on without
-        // hearing of any change.
+        // A panic would end the actor, and the VM would serve on without hearing of any change.
         let handled = catch_unwind(AssertUnwindSafe(|| state.handle(&myself, command)));
         if handled.is_err() {
             state.record_panic();
