fix(cloverpost): a VM that takes over from the watchers reads a small table first

Cause of what the record shows after the watchers of all zones fell silent: a VM that takes over asks the store for one table at a time until the store has answered, and by chance the first one was the operators' table with the whole configuration: 780 kB on a link of 10 Mbit/s. Until it had been read the VM sent no heartbeats, so the next groups of its zone took over 0.25 and 0.5 s later and read the same.

Evidence: the three VMs of the record with slow readiness are the first of their zones to take over. Test: few_listeners_read_a_large_configuration_when_the_watchers_fail, 16 VMs on links of 1.2 MB/s, 4,200 routes: beside other tests 14 of 14 listeners read the store in one run and 12 of 14 in one of two more (4 at most are meant); it passes alone. With the change 4 of 4 runs beside the same tests pass.

Change: while one call at a time is admitted, the first read of the operators' table and of the upstreams waits for 50 ms, so that the list of VMs is read first; its answer lets heartbeats go out and the other groups stay listeners.

Why the watchers were silent is still not known.

--- a/crates/cloverpost/src/gateway/breaker.rs
+++ b/crates/cloverpost/src/gateway/breaker.rs
@@ -54,9 +54,15 @@
         self.0.is_half_open.store(true, Ordering::Relaxed);
     }
 
+    /// Whether only one call at a time is admitted.
+    #[must_use]
+    pub fn is_half_open(&self) -> bool {
+        self.0.is_half_open.load(Ordering::Relaxed)
+    }
+
     /// Waits until a call is admitted.
     pub async fn acquire(&self) -> Permit<'_> {
-        let is_half_open = || self.0.is_half_open.load(Ordering::Relaxed);
+        let is_half_open = || self.is_half_open();
         if !is_half_open() {
             return Permit {
                 breaker: self,
--- a/crates/cloverpost/src/gateway/follow.rs
+++ b/crates/cloverpost/src/gateway/follow.rs
@@ -23,6 +23,11 @@
 /// zone: with a pause of 3.6 s, it was in force after 5.4 of 5.0 s at 100 VMs a zone.
 const MAX_PAUSE_MS: u64 = 2800;
 
+/// Delay of the first read of a large table while the breaker is half open. The probe is then the
+/// read of a small table, after which a VM that takes over sends heartbeats; until it does, further
+/// VMs take over.
+const LARGE_TABLE_DELAY: Duration = Duration::from_millis(50);
+
 /// Polling parameters of a topic.
 #[derive(Clone, Copy, Debug)]
 struct Timing {
@@ -159,6 +164,10 @@
     /// A failed page is retried without discarding earlier ones, so that a large table can be read
     /// despite occasional failures.
     async fn load(&self, loaded: Option<(Page, String)>) -> Cursor {
+        let is_large = matches!(self.topic, Topic::Operators | Topic::Upstreams);
+        if is_large && loaded.is_none() && self.breaker.is_half_open() {
+            sleep(LARGE_TABLE_DELAY).await;
+        }
         let permit = self.breaker.acquire().await;
         let started = Instant::now();
         let after = loaded.as_ref().map(|(_, after)| after.as_str());
