fix(cloverpost): requests beside a planned stop are answered before the process ends

What callers saw. On a kept connection, requests sent up to 2.6 s after the signal were passed on and, if their upstream took longer than the rest of the grace, cut 5.65 s after the signal (grace 6 s) without one byte of a response, bookings among them.

Vm::run dropped all that was in flight when its time was over, and nothing asked how much of that time was left before a request, a repeat or a resumption was passed on.

The end of service is known from the signal on (grace less 0.65 s). What would not be answered by then, by the usual duration of its route or its deadline, is refused as not run: as its body is complete, while it arrives, before each attempt, after waits, and for repeats. What runs at the end gets 504, or 503 if no attempt may have run; streams are cut without their final chunk. Responses tell their callers to close if the VM stops by the time they are sent.

Why it works. Each request that is passed on now has a response of its upstream, its deadline or the end before the process ends, with 0.3 s for writing it.

--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod refusal;
 pub mod rollout;
 pub mod session;
+pub mod shutdown;
 pub mod spread;
 pub mod startup;
 pub mod throttle;
--- /dev/null
+++ b/crates/cloverpost-core/src/shutdown/mod.rs
@@ -0,0 +1,12 @@
+//! Requests beside the planned end of a VM.
+//!
+//! A VM that is told to stop serves on for a while, and then its process ends. A request that is passed
+//! on too late for that is cut, and its caller cannot know whether it ran. [`End`] decides what is still
+//! begun: only what is answered in time, since it is expected to be over or since its deadline comes
+//! first. [`Durations`] knows how long requests take.
+
+mod durations;
+mod end;
+
+pub use durations::Durations;
+pub use end::End;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -30,6 +30,7 @@
 mod refusal;
 mod rollout;
 mod session;
+mod shutdown;
 mod spread;
 mod startup;
 mod throttle;
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -23,6 +23,7 @@
 use crate::gateway::response;
 use crate::gateway::rollout_evidence::{self, HeadOutcome};
 use crate::gateway::selection;
+use crate::gateway::shutdown;
 use crate::gateway::slot::UpstreamSlot;
 use crate::gateway::statements;
 
@@ -118,31 +119,45 @@
         .prefill_seconds(model, job.head.prompt_tokens())
 }
 
-async fn exchange<C: Codec>(
+/// Acquires what an attempt needs. Fails if the request is no longer to be sent.
+async fn prepare<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
-    slot: UpstreamSlot<C>,
+    slot: &UpstreamSlot<C>,
     options: AttemptOptions<'_>,
-) -> Result<UpstreamResponse<C>, Failure> {
+) -> Result<(Connection, Bytes), Failure> {
     let Some(body) = job.body.bytes() else {
         slot.end();
         return Err(Failure::NotSent);
     };
-    let mut connection = acquire::connection(shared, job, &slot).await?;
-    let sent = shared.clock.now();
-    if sent >= job.deadline {
+    let connection = acquire::connection(shared, job, slot).await?;
+    if shared.clock.now() >= job.deadline {
         slot.end();
         return Err(Failure::NotSent);
     }
-    if pushback::is_blocked(shared, job, &slot.upstream, options.kind()) {
+    if pushback::is_blocked(shared, job, &slot.upstream, options.kind())
+        || !shutdown::admits(shared, &job.route, job.deadline)
+    {
         slot.end();
         shared.pool.put_back(connection);
         return Err(Failure::NotSent);
     }
+    Ok((connection, body))
+}
+
+async fn exchange<C: Codec>(
+    shared: &Arc<Shared<C>>,
+    job: &Job,
+    slot: UpstreamSlot<C>,
+    options: AttemptOptions<'_>,
+) -> Result<UpstreamResponse<C>, Failure> {
+    let (mut connection, body) = prepare(shared, job, &slot, options).await?;
+    let sent = shared.clock.now();
     let mut request = build_request(shared, job, body, &slot.upstream, options);
     let interim = Interim::default();
     interim.watch(&mut request);
     slot.begin();
+    job.runs.begin();
     let response = connection.sender.try_send_request(request);
     let response = tokio::select! {
         response = response => response,
@@ -164,6 +179,7 @@
         // The connection closed before any byte of the request was written.
         Err(error) if error.message().is_some() => {
             slot.end();
+            job.runs.undo();
             if !connection.is_used {
                 acquire::record_reset(shared, job, &slot.upstream.id, reset("before"));
             }
@@ -186,10 +202,12 @@
     let (is_failure, confidence) = match classification {
         Classification::AtCapacity => {
             slot.record(Event::Full);
+            job.runs.undo();
             return Err(Failure::NotStarted);
         }
         Classification::InstanceReplaced => {
             slot.record(Event::Refused);
+            job.runs.undo();
             return Err(Failure::NotStarted);
         }
         Classification::Mismatched => {
@@ -380,7 +398,7 @@
     let attempt = Attempt {
         upstream: &upstream.id,
         organisation: job.organisation(),
-        time_left: job.deadline.since(shared.clock.now()),
+        time_left: shutdown::deadline(shared, job).since(shared.clock.now()),
         model: options.model,
         priority: job.priority(),
         last_event: options.last_event,
--- a/crates/cloverpost/src/gateway/job.rs
+++ b/crates/cloverpost/src/gateway/job.rs
@@ -9,6 +9,7 @@
 use crate::gateway::clients::Client;
 use crate::gateway::codec::RequestHead;
 use crate::gateway::retained::Retained;
+use crate::gateway::runs::Runs;
 
 /// Number of parts of a prompt that are considered, so that a caller cannot fill the tables of parts.
 const MAX_PARTS: usize = 64;
@@ -32,10 +33,14 @@
     pub body: Retained,
     /// When the head had been read.
     pub started: time::Moment,
+    /// When the body had been received.
+    pub admitted: time::Moment,
     /// When the response must be complete.
     pub deadline: time::Moment,
     /// Target service.
     pub service: id::Pool,
+    /// Attempts that upstreams may have run.
+    pub runs: Runs,
     /// Computed on first use.
     pub fingerprint: Arc<OnceLock<Fingerprint>>,
     /// Connection of the caller.
--- a/crates/cloverpost/src/gateway/route.rs
+++ b/crates/cloverpost/src/gateway/route.rs
@@ -7,7 +7,7 @@
 use cloverpost_core::clients::Stage;
 use cloverpost_core::pushback::Block;
 use cloverpost_core::refusal::{Code, Refusal};
-use cloverpost_core::{startup, time};
+use cloverpost_core::{directory, id, startup, time};
 use futures_util::Stream;
 use http::{HeaderValue, Method, Request, Response, header};
 use http_body_util::{Either, Full, StreamBody};
@@ -21,11 +21,12 @@
 use crate::gateway::job::Job;
 use crate::gateway::response::{self, FullResponse};
 use crate::gateway::retained::Retained;
+use crate::gateway::runs::Runs;
 use crate::gateway::shared::Phase;
 use crate::gateway::startup::wait_until_routable;
 use crate::gateway::stream::{self, StreamAborted, StreamStart};
 use crate::gateway::unary::{self, Outcome};
-use crate::gateway::{Shared, crashes, selection, upload};
+use crate::gateway::{Shared, crashes, selection, shutdown, upload};
 
 /// A response with a full body or a stream of events.
 type RouteResponse<S> = Response<RouteBody<S>>;
@@ -42,7 +43,6 @@
 ) -> Response<clients::Served<RouteBody<impl Stream<Item = EventFrame> + Send + 'static + use<C>>>>
 {
     let started = shared.clock.now();
-    let is_leaving = *shared.phase.borrow() >= Phase::Leaving;
     let (head, mut body) = request.into_parts();
     let expects_leave = head.headers.contains_key(header::EXPECT);
     let mut response = match admit(&shared, &client, head, &mut body, started).await {
@@ -59,7 +59,7 @@
             );
             if matches!(
                 refusal.code,
-                Code::BodyTooLarge | Code::Overloaded | Code::SlowClient
+                Code::BodyTooLarge | Code::Overloaded | Code::SlowClient | Code::Stopping
             ) {
                 set_close(&mut response);
             }
@@ -72,7 +72,7 @@
         }
         Ok(job) => respond(&shared, job).await,
     };
-    if is_leaving {
+    if *shared.phase.borrow() >= Phase::Leaving {
         set_close(&mut response);
     }
     response.map(|body| clients::Served::new(body, client))
@@ -138,30 +138,11 @@
         let refusal = Refusal::not_run(Code::Unconfirmed, "no configuration is known yet");
         return Err((Some(request_head), refusal));
     };
-    let refuse = |code, message: &str| Refusal::not_run(code, message);
-    let host = head
-        .headers
-        .get(header::HOST)
-        .and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
-    let Ok(route) = index.route(host, head.uri.path()).cloned() else {
-        return Err((
-            Some(request_head),
-            refuse(Code::UnknownPath, "no route takes this host and path"),
-        ));
-    };
-    let Ok(sender) = index.sender(&route, request_head.key.as_deref()) else {
-        return Err((
-            Some(request_head),
-            refuse(Code::UnknownKey, "the key is not known"),
-        ));
-    };
-    let Some(destination) = route.destination(rand::random()) else {
-        return Err((
-            Some(request_head),
-            refuse(Code::NoUpstream, "the route leads nowhere"),
-        ));
+    let target = match Target::find(&index, &head, &request_head) {
+        Ok(target) => target,
+        Err(refusal) => return Err((Some(request_head), refusal)),
     };
+    let route = target.route;
     let timeout = request_head
         .timeout
         .unwrap_or(route.timeout)
@@ -173,31 +154,81 @@
         max_wait: timeout / 2,
         head_bytes: footprint.counted_bytes(),
     };
-    let body = match upload::receive(client, body, options).await {
+    let deadline = started + timeout;
+    let received = tokio::select! {
+        received = upload::receive(client, body, options) => received.map_err(into_refusal),
+        () = shutdown::too_late(shared, &route, deadline) => Err(shutdown::refusal()),
+    };
+    let body = match received {
         Ok(body) => body,
-        Err((code, message)) => return Err((Some(request_head), refuse(code, message))),
+        Err(refusal) => return Err((Some(request_head), refusal)),
     };
     let bytes = footprint.counted_bytes() + footprint::counted_body_bytes(&body);
     if !client.begin(Stage::Busy, bytes) {
         return Err((Some(request_head), NoMemory.into()));
     }
+    if !shutdown::admits(shared, &route, deadline) {
+        return Err((Some(request_head), shutdown::refusal()));
+    }
     Ok(Job {
-        service: destination.service.clone(),
+        service: target.service,
         headers: shared.codec.forwarded_headers(&head.headers),
-        sender: sender.cloned(),
+        sender: target.sender,
         method: head.method,
         uri: head.uri,
         body: Retained::new(body),
         started,
-        deadline: started + timeout,
+        admitted: shared.clock.now(),
+        deadline,
         head: request_head,
         route,
+        runs: Runs::default(),
         fingerprint: Arc::default(),
         client: client.clone(),
         memory,
     })
 }
 
+/// Where a request is to be sent, and for whom.
+struct Target {
+    route: Arc<directory::Route>,
+    sender: Option<Arc<directory::Sender>>,
+    service: id::Pool,
+}
+
+impl Target {
+    fn find(
+        index: &directory::Index,
+        head: &http::request::Parts,
+        request_head: &RequestHead,
+    ) -> Result<Self, Refusal> {
+        let refuse = |code, message: &str| Refusal::not_run(code, message);
+        let host = head
+            .headers
+            .get(header::HOST)
+            .and_then(|host| host.to_str().ok());
+        let host = host.or(head.uri.host()).unwrap_or_default();
+        let route = index
+            .route(host, head.uri.path())
+            .map_err(|_| refuse(Code::UnknownPath, "no route takes this host and path"))?;
+        let sender = index
+            .sender(route, request_head.key.as_deref())
+            .map_err(|_| refuse(Code::UnknownKey, "the key is not known"))?;
+        let destination = route
+            .destination(rand::random())
+            .ok_or_else(|| refuse(Code::NoUpstream, "the route leads nowhere"))?;
+        Ok(Self {
+            route: route.clone(),
+            sender: sender.cloned(),
+            service: destination.service.clone(),
+        })
+    }
+}
+
+fn into_refusal((code, message): upload::Error) -> Refusal {
+    Refusal::not_run(code, message)
+}
+
 /// What decides whether a request waits for the first configuration.
 fn startup_request(head: &http::request::Parts, request_head: &RequestHead) -> startup::Request {
     let length = head.headers.get(header::CONTENT_LENGTH);
@@ -216,7 +247,14 @@
 ) -> RouteResponse<impl Stream<Item = EventFrame> + Send + 'static + use<C>> {
     let logged_job = job.clone();
     let in_flight = InFlightGuard::new(&shared.metrics);
-    let response = match stream::start(shared, job).await {
+    let mut watch = shared.end.subscribe();
+    let start = tokio::select! {
+        start = stream::start(shared, job) => start,
+        () = shutdown::ended(shared, &mut watch) => {
+            StreamStart::Refused(shutdown::refusal_at_end(&logged_job))
+        }
+    };
+    let response = match start {
         StreamStart::Streaming(relay) => {
             let now = shared.clock.now();
             let seconds = now.since(logged_job.started).as_secs_f64();
@@ -266,8 +304,15 @@
 
 async fn run_counted<C: Codec>(shared: Arc<Shared<C>>, job: Job) -> FullResponse {
     let _in_flight = InFlightGuard::new(&shared.metrics);
-    match unary::run(&shared, &job).await {
+    let mut watch = shared.end.subscribe();
+    let outcome = tokio::select! {
+        outcome = unary::run(&shared, &job) => outcome,
+        () = shutdown::ended(&shared, &mut watch) => Outcome::Refused(shutdown::refusal_at_end(&job)),
+    };
+    match outcome {
         Outcome::Answered(response) => {
+            let took = shared.clock.now().since(job.admitted);
+            shared.durations().record(&job.route.name, took);
             let seconds = shared.clock.now().since(job.started).as_secs_f64();
             shared
                 .metrics
--- a/crates/cloverpost/src/gateway/shared.rs
+++ b/crates/cloverpost/src/gateway/shared.rs
@@ -7,8 +7,8 @@
 use arc_swap::ArcSwap;
 use cloverpost_core::evidence::Source;
 use cloverpost_core::{
-    admission, balance, budget, directory, escalation, exposure, id, path, poison, quota, throttle,
-    time,
+    admission, balance, budget, directory, escalation, exposure, id, path, poison, quota, shutdown,
+    throttle, time,
 };
 use tokio::sync::{Notify, watch};
 
@@ -71,6 +71,8 @@
     pub metrics: Metrics,
     /// Progress of a graceful shutdown.
     pub phase: watch::Sender<Phase>,
+    /// End of the VM's service, once it shuts down.
+    pub end: watch::Sender<Option<shutdown::End>>,
     /// Requests that crash upstreams.
     pub quarantine: Quarantine,
     successes: Mutex<poison::Successes>,
@@ -86,6 +88,7 @@
     returns: Mutex<throttle::Returns>,
     /// Notified when other VMs should be told of rejections.
     pub rejection_news: Notify,
+    durations: Mutex<shutdown::Durations>,
     sizes: Mutex<escalation::Sizes>,
     caller_retries: Mutex<escalation::Retries>,
     /// The current process of each upstream.
@@ -145,6 +148,7 @@
             peers: ArcSwap::default(),
             metrics,
             phase: watch::Sender::new(Phase::Serving),
+            end: watch::Sender::new(None),
             quarantine: Quarantine::with_options(crashes::OPTIONS),
             successes: Mutex::new(crashes::no_successes()),
             sound_parts: Mutex::new(crashes::no_sound_parts()),
@@ -158,6 +162,7 @@
             startup: Mutex::new(startup),
             returns: Mutex::default(),
             rejection_news: Notify::new(),
+            durations: Mutex::default(),
             sizes: Mutex::default(),
             caller_retries: Mutex::default(),
             processes: Mutex::default(),
@@ -226,6 +231,11 @@
         lock(&self.returns)
     }
 
+    /// Usual durations of requests by route.
+    pub fn durations(&self) -> MutexGuard<'_, shutdown::Durations> {
+        lock(&self.durations)
+    }
+
     /// Typical request sizes by route.
     pub fn sizes(&self) -> MutexGuard<'_, escalation::Sizes> {
         lock(&self.sizes)
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -22,7 +22,7 @@
 use crate::gateway::path::Loss;
 use crate::gateway::pool::Connection;
 use crate::gateway::slot::UpstreamSlot;
-use crate::gateway::{crashes, response, rollout_evidence, selection, unary};
+use crate::gateway::{crashes, response, rollout_evidence, selection, shutdown, unary};
 
 /// The response stream was aborted; the caller's connection closes without the final chunk.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -57,6 +57,7 @@
     is_refused: bool,
     /// Keeps the body available to other requests.
     _offer: Option<Offer>,
+    end: shutdown::Watch,
 }
 
 /// The run on an upstream that currently feeds the stream.
@@ -110,6 +111,7 @@
             first_events: None,
             is_refused: false,
             _offer: offer,
+            end: shared.end.subscribe(),
         }
     }
 
@@ -140,8 +142,13 @@
         if self.outcome.is_some() {
             return None;
         }
-        let events = self.next_events().await;
+        let (shared, mut end) = (self.shared.clone(), self.end.clone());
+        let events = tokio::select! {
+            events = self.next_events() => events,
+            () = shutdown::ended(&shared, &mut end) => Err(shutdown::refusal_at_end(&self.job)),
+        };
         let events = events.map_err(|refusal| {
+            self.outcome = Some("cut");
             log::info!(id = self.job.head.id.as_str(), why:% = refusal.message; "response stream aborted");
             StreamAborted
         });
@@ -163,10 +170,7 @@
                 Err(failure) => failure,
             };
             self.running = None;
-            if let Err(refusal) = self.resume(failure).await {
-                self.outcome = Some("cut");
-                return Err(refusal);
-            }
+            self.resume(failure).await?;
         }
     }
 
@@ -336,6 +340,8 @@
 
     fn finish(&mut self) {
         self.outcome = Some("answered");
+        let took = self.shared.clock.now().since(self.job.admitted);
+        self.shared.durations().record(&self.job.route.name, took);
         self.record_pace(MIN_PACE_EVENTS_AT_END);
         if let Some(running) = self.running.take() {
             if running.is_proven {
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -18,8 +18,7 @@
 use crate::gateway::job::Job;
 use crate::gateway::offers::Offer;
 use crate::gateway::response::{self, FullResponse};
-use crate::gateway::selection;
-use crate::gateway::upload;
+use crate::gateway::{selection, shutdown, upload};
 
 /// Attempts allowed in addition to the route's limit, for attempts whose upstream is
 /// known not to have run the request.
@@ -134,7 +133,7 @@
     if crashes::is_quarantined(shared, job).await {
         return Next::Refuse(crashes::stop(dispatch, failure));
     }
-    if !job.body.is_held() {
+    if !job.body.is_held() || !shutdown::admits(shared, &job.route, job.deadline) {
         dispatch.record_last_failure(failure);
         return Next::Refuse(dispatch.refusal(failure.code(), failure.as_str()));
     }
--- a/crates/cloverpost/src/gateway/vm.rs
+++ b/crates/cloverpost/src/gateway/vm.rs
@@ -11,6 +11,7 @@
 
 use cloverpost_core::clients;
 use cloverpost_core::directory::Member;
+use cloverpost_core::shutdown::End;
 use ractor::Actor;
 use tokio::net::TcpListener;
 use tokio::runtime;
@@ -32,6 +33,8 @@
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
 /// Time reserved between the end of the graceful shutdown and the kill of the process.
 const KILL_MARGIN: Duration = Duration::from_millis(350);
+/// Time reserved before that in which the last responses are written.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(300);
 
 /// Errors of starting a VM.
 #[derive(Debug)]
@@ -140,10 +143,13 @@
         let grace = self.shared.settings.load().stop_grace;
         let deadline = tokio::time::sleep(grace.saturating_sub(KILL_MARGIN));
         log::info!(in_flight = self.shared.metrics.in_flight.get(); "stopping: no longer ready");
+        let service = grace.saturating_sub(KILL_MARGIN + RESPONSE_MARGIN);
+        let end = End::new(self.shared.clock.now() + service);
+        self.shared.end.send_replace(Some(end));
         self.shared.phase.send_replace(Phase::Leaving);
         tokio::pin!(deadline);
         tokio::select! {
-            () = shut_down(&self.shared, &self.store, &self.own, server) => log::info!("stopped"),
+            () = shut_down(&self.shared, service, &self.store, &self.own, server) => log::info!("stopped"),
             () = &mut deadline => {
                 log::warn!(in_flight = self.shared.metrics.in_flight.get(); "stopped with requests in flight");
             }
@@ -151,8 +157,10 @@
     }
 }
 
+/// Stops serving within `service`.
 async fn shut_down<C: Codec, S: Store>(
     shared: &Shared<C>,
+    service: Duration,
     store: &S,
     own: &Member,
     server: tokio::task::JoinHandle<()>,
@@ -160,7 +168,7 @@
     if let Some(links) = shared.links.get() {
         links.drain_tunnels();
     }
-    tokio::time::sleep(READINESS_DELAY).await;
+    tokio::time::sleep(READINESS_DELAY.min(service)).await;
     log::info!(in_flight = shared.metrics.in_flight.get(); "closing connections");
     shared.phase.send_replace(Phase::Closing);
     // A panic of the server has already been logged.
