fix(cloverpost): framing without end ends an upstream's response

What callers saw. Forty requests at an upstream that sends the digits of a chunk's size, or blanks after it, without end were held until their deadlines and got 504, look-ups too, though a sound upstream was there. Memory was bounded. The upstream was not left out.

The HTTP library accepts any number of leading zeros and blanks; they yield no part of a body, and nothing counted them.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -196,6 +196,7 @@
         }
     };
     let (head, body) = response.into_parts();
+    connection.record_part();
     connection.record_keep_alive(&head);
     let classification = shared.codec.classify_response(&job.head.id, &head);
     statements::record(shared, job, &slot, &connection, sent, &head, classification);
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod interim;
 mod job;
 mod loads;
+mod meter;
 pub mod metrics;
 pub mod offers;
 mod operator_server;
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -24,6 +24,7 @@
 use crate::gateway::connections::{self, Connections, Permit, Waiting};
 use crate::gateway::dial::{self, Dialer};
 use crate::gateway::faults::{self, Faults};
+use crate::gateway::meter::{Meter, Metered};
 use crate::gateway::path::Via;
 
 /// Idle time after which a connection is not reused, unless the upstream states its
@@ -78,6 +79,8 @@
     via: Option<Via>,
     /// Keep-alive timeout that the upstream stated.
     keep_alive: Option<Duration>,
+    /// Bytes since the last part of a response.
+    meter: Meter,
     opened: time::Moment,
     /// When leave to open the connection was given.
     permitted: time::Moment,
@@ -152,6 +155,11 @@
         matches!(ready, Ok(Ok(()))) && !self.is_over()
     }
 
+    /// Records that a head or a part of a body has been taken.
+    pub fn record_part(&self) {
+        self.meter.reset();
+    }
+
     /// Records the timeout of a `Keep-Alive` header in a response head.
     pub fn record_keep_alive(&mut self, head: &http::response::Parts) {
         let value = head
@@ -249,6 +257,8 @@
     {
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_HEAD_BYTES);
+        let meter = Meter::default();
+        let stream = Metered::new(stream, meter.clone());
         let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|_| dial::Error::Failed)?;
         let permitted = permit.since;
@@ -263,6 +273,7 @@
             upstream: upstream.id.clone(),
             via,
             keep_alive: None,
+            meter,
             opened: self.clock.now(),
             permitted,
             driver,
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -198,6 +198,7 @@
                 Some(Err(_)) => return Err(self.record_lost().await),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
+            running.connection.record_part();
             running.slot.record(Event::Heard);
             let Ok(events) = self.splitter.push(&data) else {
                 running.slot.record(Event::Broke);
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -17,6 +17,7 @@
 use crate::gateway::crashes;
 use crate::gateway::job::Job;
 use crate::gateway::offers::Offer;
+use crate::gateway::pool::Connection;
 use crate::gateway::response::{self, FullResponse};
 use crate::gateway::{selection, shutdown, upload};
 
@@ -181,7 +182,7 @@
         ..
     } = response;
     let left = job.deadline.since(shared.clock.now());
-    let body = tokio::time::timeout(left, read_body(shared, job, body));
+    let body = tokio::time::timeout(left, read_body(shared, job, &connection, body));
     let body = body.await.map_err(|_elapsed| Failure::Stalled)?;
     slot.end();
     let body = match body {
@@ -226,6 +227,7 @@
 async fn read_body<C: Codec>(
     shared: &Shared<C>,
     job: &Job,
+    connection: &Connection,
     mut body: Incoming,
 ) -> Result<Bytes, BodyError> {
     let declared = body.size_hint().exact();
@@ -241,6 +243,7 @@
     };
     let mut bytes = Vec::new();
     while let Some(frame) = body.frame().await {
+        connection.record_part();
         let frame = frame.map_err(|_| BodyError::Truncated)?;
         let Ok(data) = frame.into_data() else {
             continue;
