refactor(cloverpost): one type a file for the meter of connections; names of a stop

A request that a stop keeps from its first attempt is refused with the code of the stop rather than no_upstream. A stream whose body is given up while its upstream is silent goes on waiting.

--- a/crates/cloverpost-core/src/shutdown/durations.rs
+++ b/crates/cloverpost-core/src/shutdown/durations.rs
@@ -44,7 +44,7 @@
 
     /// Time that few requests of `route` exceed; `None` if none has been recorded.
     #[must_use]
-    pub fn most(&self, route: &id::Entry) -> Option<Duration> {
+    pub fn upper_estimate(&self, route: &id::Entry) -> Option<Duration> {
         let estimate = self.0.get(route)?;
         let seconds = estimate.mean + estimate.deviation * DEVIATIONS;
         Duration::try_from_secs_f64(seconds).ok()
--- a/crates/cloverpost-core/tests/behaviour/shutdown/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/shutdown/mod.rs
@@ -55,8 +55,8 @@
         let mut longer = 0;
         for (number, share) in shares.into_iter().enumerate() {
             let duration = millis(usual) + millis(spread).mul_f64(share);
-            let most = durations.most(&route);
-            longer += u32::from(number >= 20 && most.is_some_and(|most| duration > most));
+            let estimate = durations.upper_estimate(&route);
+            longer += u32::from(number >= 20 && estimate.is_some_and(|estimate| duration > estimate));
             durations.record(&route, duration);
         }
         prop_assert!(longer <= 9, "{longer} of 180");
@@ -68,6 +68,9 @@
 fn a_route_without_requests_has_no_estimate() {
     let mut durations = Durations::default();
     durations.record(&"r".parse().unwrap(), millis(100));
-    assert_eq!(durations.most(&"other".parse().unwrap()), None);
-    assert_eq!(durations.most(&"r".parse().unwrap()), Some(millis(300)));
+    assert_eq!(durations.upper_estimate(&"other".parse().unwrap()), None);
+    assert_eq!(
+        durations.upper_estimate(&"r".parse().unwrap()),
+        Some(millis(300))
+    );
 }
--- a/crates/cloverpost/src/gateway/mod.rs
+++ b/crates/cloverpost/src/gateway/mod.rs
@@ -31,6 +31,7 @@
 mod job;
 mod loads;
 mod meter;
+mod metered;
 pub mod metrics;
 pub mod offers;
 mod operator_server;
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -24,7 +24,8 @@
 use crate::gateway::connections::{self, Connections, Permit, Waiting};
 use crate::gateway::dial::{self, Dialer};
 use crate::gateway::faults::{self, Faults};
-use crate::gateway::meter::{Meter, Metered};
+use crate::gateway::meter::Meter;
+use crate::gateway::metered::Metered;
 use crate::gateway::path::Via;
 
 /// Idle time after which a connection is not reused, unless the upstream states its
--- a/crates/cloverpost/src/gateway/shutdown.rs
+++ b/crates/cloverpost/src/gateway/shutdown.rs
@@ -87,6 +87,6 @@
 
 /// Time that few requests of `route` exceed. Until one has ended, its target latency stands for it.
 fn usual_duration<C: Codec>(shared: &Shared<C>, route: &directory::Route) -> Duration {
-    let most = shared.durations().most(&route.name);
-    most.unwrap_or(route.target_latency)
+    let estimate = shared.durations().upper_estimate(&route.name);
+    estimate.unwrap_or(route.target_latency)
 }
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -176,9 +176,7 @@
 
     /// Reads the next complete events of the current run; `None` at its end.
     async fn read_events(&mut self) -> Result<Option<Bytes>, Failure> {
-        let may_resume = self.job.route.kind.is_idempotent()
-            && self.dispatch.may_run_again()
-            && self.job.body.is_held();
+        let may_resume = self.job.route.kind.is_idempotent() && self.dispatch.may_run_again();
         let running = self.running.as_mut().ok_or(Failure::ConnectionLost)?;
         let since = self.shared.clock.now();
         loop {
@@ -395,7 +393,7 @@
             return failure;
         }
         let silence = shared.balancer().silence(&slot.upstream.id, since, now);
-        if may_resume && silence >= attempt::SILENCE_TIMEOUT {
+        if may_resume && job.body.is_held() && silence >= attempt::SILENCE_TIMEOUT {
             if !std::mem::replace(&mut is_recorded, true) {
                 failure = attempt::record_silent(shared, slot, failure).await;
             }
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use cloverpost_core::balance::Event;
 use cloverpost_core::dispatch::{Dispatch, Failure, Next, Options};
-use cloverpost_core::refusal::Refusal;
+use cloverpost_core::refusal::{Ran, Refusal};
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -134,9 +134,14 @@
     if crashes::is_quarantined(shared, job).await {
         return Next::Refuse(crashes::stop(dispatch, failure));
     }
-    if !job.body.is_held() || !shutdown::admits(shared, &job.route, job.deadline) {
+    let is_stopping = !shutdown::admits(shared, &job.route, job.deadline);
+    if is_stopping || !job.body.is_held() {
         dispatch.record_last_failure(failure);
-        return Next::Refuse(dispatch.refusal(failure.code(), failure.as_str()));
+        return Next::Refuse(if is_stopping && dispatch.ran() == Ran::No {
+            shutdown::refusal()
+        } else {
+            dispatch.refusal(failure.code(), failure.as_str())
+        });
     }
     let now = shared.clock.now();
     let within_budget = || shared.try_take_retry(job);
