fix(cloverpost): what is overdue is kept until another attempt has begun

The run that would have ended in time was gone, and nothing took its place. The same for a response head that is late, and for the response of a small model that is dropped for a larger one's. Class: a run is given up before its replacement is granted.

Change: core `hedge` tracks what is in progress for a request; gateway `hedge` takes all that another attempt needs at one moment, sends it beside the overdue one, and drops the others once a response, or the next part of one, has begun. A denial leaves the overdue attempt in use, and is logged and counted with its reason. An attempt that fails costs nothing but a retry. Larger models likewise: the small one's response is kept until the larger one's has begun.

Why it works: nothing ends a run but its own end, the deadline, the end of the VM's service, or another one that has begun; core's property test draws every order of these.

Failed before: a_silent_run_is_kept_while_a_stop_forbids_another, a_silent_run_is_kept_when_the_other_upstream_rejects_the_request, a_late_response_is_delivered_when_the_other_upstream_rejects_the_request and the_response_of_the_small_model_is_delivered_when_the_large_one_is_not_to_be_had; the two others of the file passed.

--- a/crates/cloverpost-core/src/dispatch/mod.rs
+++ b/crates/cloverpost-core/src/dispatch/mod.rs
@@ -66,6 +66,16 @@
         self.runs + 1 < self.options.max_runs
     }
 
+    /// Whether the limits permit a further attempt at `now` besides the `in_progress` ones. A request that
+    /// is not idempotent never runs side by side with itself.
+    #[must_use]
+    pub fn may_begin(&self, in_progress: u32, now: time::Moment) -> bool {
+        self.options.idempotent
+            && now < self.options.deadline
+            && self.attempts + in_progress < self.options.max_attempts
+            && self.runs + in_progress < self.options.max_runs
+    }
+
     /// Whether any attempt may have run the request.
     #[must_use]
     pub fn ran(&self) -> refusal::Ran {
--- a/crates/cloverpost-core/src/lib.rs
+++ b/crates/cloverpost-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod evidence;
 pub mod exposure;
 pub mod fragile;
+pub mod hedge;
 pub mod id;
 pub mod lease;
 pub mod limit;
--- a/crates/cloverpost-core/tests/behaviour/main.rs
+++ b/crates/cloverpost-core/tests/behaviour/main.rs
@@ -17,6 +17,7 @@
 mod evidence;
 mod exposure;
 mod fragile;
+mod hedge;
 mod id;
 mod lease;
 mod limit;
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use crate::gateway::crashes;
 use crate::gateway::interim::Interim;
 use crate::gateway::job::Job;
+use crate::gateway::overdue::Overdue;
 use crate::gateway::path::{self, Loss};
 use crate::gateway::pool::Connection;
 use crate::gateway::pushback;
@@ -73,7 +74,7 @@
     pub model: Option<&'a id::Model>,
     /// Id of the last event that the caller received, if a stream is resumed.
     pub last_event: Option<&'a str>,
-    /// Whether the job may be retried if this attempt takes too long.
+    /// Whether the job may be sent again beside this attempt if that takes too long.
     pub may_retry: bool,
     /// Number of attempts before this one.
     pub attempts_before: usize,
@@ -101,13 +102,14 @@
     job: &Job,
     upstream: &Arc<directory::Upstream>,
     options: AttemptOptions<'_>,
+    overdue: &Overdue,
 ) -> Result<UpstreamResponse<C>, Failure> {
     let work = prefill_seconds(shared, job, options.model);
     let slot = UpstreamSlot::acquire(shared.clone(), upstream.clone(), job.profile(), work);
     selection::count_send(shared, job, upstream);
     rate_limits::record_send(shared, job, upstream, options.kind());
     let sent = shared.clock.now();
-    let result = exchange(shared, job, slot, options).await;
+    let result = exchange(shared, job, slot, options, overdue).await;
     record_result(shared, job, upstream, options, sent, &result);
     result
 }
@@ -150,6 +152,7 @@
     job: &Job,
     slot: UpstreamSlot<C>,
     options: AttemptOptions<'_>,
+    overdue: &Overdue,
 ) -> Result<UpstreamResponse<C>, Failure> {
     let (mut connection, body) = prepare(shared, job, &slot, options).await?;
     let sent = shared.clock.now();
@@ -165,7 +168,7 @@
             slot.record(Event::Broke);
             return Err(Failure::Malformed);
         }
-        failure = wait_for_head_timeout(shared, job, &slot, sent, options.may_retry) => return Err(failure),
+        failure = watch_for_head(shared, job, &slot, sent, options.may_retry, overdue) => return Err(failure),
     };
     let ended = shared.clock.now();
     let since = connection.permitted();
@@ -305,15 +308,15 @@
     }
 }
 
-/// Completes when the attempt should be abandoned: at the job's deadline, or when the response
-/// head is overdue and the job may be sent again. Otherwise keeps waiting, since the response may
-/// still arrive.
-async fn wait_for_head_timeout<C: Codec>(
+/// Completes at the job's deadline. Until then, `overdue` is set while the response head is overdue and
+/// the job may be sent again beside this attempt.
+async fn watch_for_head<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
     slot: &UpstreamSlot<C>,
     sent: time::Moment,
     may_retry: bool,
+    overdue: &Overdue,
 ) -> Failure {
     let kind = job.route.kind;
     let (silence_limit, limit) = if !kind.is_idempotent() || !may_retry {
@@ -344,25 +347,25 @@
         let silence = shared.balancer().silence(&slot.upstream.id, sent, now);
         let waited = now.since(sent);
         let is_silent = silence >= silence_limit;
-        if is_silent || waited >= limit {
+        let is_overdue = is_silent || waited >= limit;
+        if is_overdue {
             let is_first = !std::mem::replace(&mut is_recorded, true);
             if is_first && is_silent {
                 failure = record_silent(shared, slot, failure).await;
             } else if is_first {
                 slot.record(Event::Failed);
             }
-            if selection::may_send_again(shared, job) {
-                return failure;
-            }
         }
         if silence >= check_after {
             check_after = Duration::MAX;
             let check = path::is_direct(shared, &slot.upstream);
             has_path = tokio::time::timeout(left, check).await.unwrap_or(true);
         }
-        if !has_path && selection::may_send_again(shared, job) {
-            return Failure::PathLost;
-        }
+        overdue.set(if has_path {
+            is_overdue.then_some(failure)
+        } else {
+            Some(Failure::PathLost)
+        });
         let rest = silence_limit.min(check_after).saturating_sub(silence);
         let rest = rest
             .min(limit.saturating_sub(waited))
--- a/crates/cloverpost/src/gateway/metrics.rs
+++ b/crates/cloverpost/src/gateway/metrics.rs
@@ -67,6 +67,8 @@
     pub retries: IntCounterVec,
     /// Requests sent again, by service and by the end of the attempt before.
     pub sent_again: IntCounterVec,
+    /// Overdue attempts, by service and by why they were kept alone or what became of those beside them.
+    pub overdue: IntCounterVec,
     /// Attempts whose upstream crashed, by service.
     pub crashes: IntCounterVec,
     /// Number of VMs that share the fleet's budgets.
@@ -168,6 +170,7 @@
                 "requests sent again, by the end of the attempt before",
                 &["service", "after"],
             ),
+            overdue: register_overdue(&registry),
             crashes: counters(
                 "crashes_total",
                 "attempts whose upstream crashed",
@@ -258,6 +261,17 @@
     }
 }
 
+fn register_overdue(registry: &Registry) -> IntCounterVec {
+    let options = Opts::new(
+        "overdue_total",
+        "overdue attempts, by why they were kept alone, and what became of those beside them",
+    );
+    register(
+        registry,
+        IntCounterVec::new(options, &["service", "result"]),
+    )
+}
+
 fn register_first_byte(registry: &Registry) -> HistogramVec {
     let options = buckets("first_byte_seconds", "seconds to the start of the answer");
     register(registry, HistogramVec::new(options, &["route"]))
--- a/crates/cloverpost/src/gateway/selection.rs
+++ b/crates/cloverpost/src/gateway/selection.rs
@@ -106,22 +106,6 @@
         .collect()
 }
 
-/// Whether an upstream takes another attempt of `job` now.
-pub fn has_upstream<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
-    let view = shared.view.load();
-    let Some(pool) = view.pools.get(&job.service) else {
-        return false;
-    };
-    let now = shared.clock.now();
-    let admission = shared.admission();
-    let filter = version_filter(shared, job, pool, &admission);
-    let balancer = shared.balancer();
-    let gate = admission.gate(&job.service, &balancer, now);
-    let gate = gate.with_excess(&job.service, pool);
-    let mut usable = pool.upstreams.iter().filter(|one| filter.matches(one));
-    usable.any(|upstream| gate.admits_as_last_resort(upstream))
-}
-
 /// Whether another upstream than `upstream` takes `job` now and has a connection for it.
 pub fn has_other_upstream<C: Codec>(shared: &Shared<C>, job: &Job, upstream: &Upstream) -> bool {
     let view = shared.view.load();
@@ -138,11 +122,6 @@
     usable.any(|one| balancer.is_available(&one.id, now) && shared.pool.has_connection(&one.id))
 }
 
-/// Whether `job` can be sent again: the retry budget allows it, and an upstream takes it.
-pub fn may_send_again<C: Codec>(shared: &Shared<C>, job: &Job) -> bool {
-    shared.has_retry(&job.service) && has_upstream(shared, job)
-}
-
 /// The load test uses one in this many upstreams of the new version.
 const LOAD_TEST_DIVISOR: usize = 2;
 
--- a/crates/cloverpost/src/gateway/stream/escalate.rs
+++ b/crates/cloverpost/src/gateway/stream/escalate.rs
@@ -1,16 +1,22 @@
-//! Decision whether to escalate a request to the largest model.
+//! Escalation of a request to the largest model.
+//!
+//! The response of the smaller model is dropped only once that of the larger one has begun, and serves
+//! the caller if that does not happen.
 
+use std::sync::Arc;
 use std::time::Duration;
 
-use cloverpost_core::dispatch::Dispatch;
+use cloverpost_core::dispatch::{Dispatch, Failure};
+use cloverpost_core::hedge::{Denial, Hedge};
 use cloverpost_core::{escalation, id};
 
 use crate::gateway::Shared;
 use crate::gateway::attempt::UpstreamResponse;
 use crate::gateway::codec::{Codec, RequestHead};
+use crate::gateway::hedge::{self, Plan};
 use crate::gateway::job::Job;
 use crate::gateway::response;
-use crate::gateway::selection;
+use crate::gateway::unary;
 
 /// Fraction of the target latency after which a request is not escalated: a late response
 /// of a larger model is worth less than a timely one of a small model.
@@ -29,15 +35,70 @@
 /// Number of tokens that a model's cost refers to.
 const PRICE_UNIT_TOKENS: f64 = 1000.0;
 
-/// The model to escalate to in place of `response`, if the gain outweighs the cost and the retry
-/// budget allows it. Takes a retry from the budget if it returns a model.
-pub fn larger_model<C: Codec>(
-    shared: &Shared<C>,
+/// The response to relay in place of `response`, which `model` generates, with its model: that of the
+/// largest model, if the gain outweighs the cost and an upstream gives one.
+pub async fn escalate<C: Codec>(
+    shared: &Arc<Shared<C>>,
     job: &Job,
+    dispatch: &mut Dispatch,
+    tried: &mut Vec<id::Upstream>,
+    model: Option<id::Model>,
+    response: UpstreamResponse<C>,
+) -> (Option<id::Model>, UpstreamResponse<C>) {
+    let largest = larger_model(shared, job, dispatch, model.as_ref(), &response);
+    let Some(largest) = largest else {
+        return (model, response);
+    };
+    let mut plan = Plan {
+        model: Some(largest),
+        other_runs: 1,
+        ..Plan::default()
+    };
+    loop {
+        let none = Hedge::default();
+        // Upstreams that ran the smaller model may run the larger one.
+        let first = hedge::grant(shared, job, dispatch, none, plan, tried).await;
+        let granted = match first {
+            Err(Denial::NoUpstream) => hedge::grant(shared, job, dispatch, none, plan, &[]).await,
+            granted => granted,
+        };
+        let upstream = match granted {
+            Ok(upstream) => upstream,
+            Err(denial) => {
+                hedge::record(shared, job, denial.as_str());
+                log::info!(
+                    id = job.head.id.as_str(), why:% = denial;
+                    "the response of the smaller model is kept"
+                );
+                return (model, response);
+            }
+        };
+        unary::record_sent_again(shared, job, dispatch, "larger_model");
+        tried.push(upstream.id.clone());
+        plan.has_unspent_retry = false;
+        let failure = match hedge::send(shared, job, dispatch, tried, plan, upstream).await {
+            Ok(larger) if !larger.is_failure => {
+                dispatch.record_discarded();
+                let route = job.route.name.as_str();
+                shared.metrics.escalated.with_label_values(&[route]).inc();
+                return (Some(largest.clone()), larger);
+            }
+            Ok(_) => Failure::Failed,
+            Err(failure) => failure,
+        };
+        dispatch.record_last_failure(failure);
+        plan.has_unspent_retry = failure.is_exempt_from_budget();
+    }
+}
+
+/// The model to escalate to in place of `response`, if the gain outweighs the cost.
+fn larger_model<'a, C: Codec>(
+    shared: &Shared<C>,
+    job: &'a Job,
     dispatch: &Dispatch,
     model: Option<&id::Model>,
     response: &UpstreamResponse<C>,
-) -> Option<id::Model> {
+) -> Option<&'a id::Model> {
     let largest = job.route.models.last()?;
     let confidence = response.confidence?;
     if model == Some(largest) || !dispatch.may_run_again() {
@@ -66,20 +127,13 @@
         target: job.route.target_latency,
     };
     let estimate = escalation::estimate(&inputs, options);
-    let escalates = estimate.is_worthwhile()
-        && selection::has_upstream(shared, job)
-        && shared.try_take_retry(job);
+    let escalates = estimate.is_worthwhile();
     log::info!(
         id = job.head.id.as_str(), confidence, gain = estimate.gain, cost = estimate.cost,
         price = inputs.price, lasts_s = inputs.response_duration.as_secs_f64(), delay_ms = response::millis(inputs.queueing_delay), asks = escalates;
         "weighed a larger model"
     );
-    if !escalates {
-        return None;
-    }
-    let route = job.route.name.as_str();
-    shared.metrics.escalated.with_label_values(&[route]).inc();
-    Some(largest.clone())
+    escalates.then_some(largest)
 }
 
 /// Whether there is time to escalate: little of the target latency has elapsed, and a response
--- a/crates/cloverpost/src/gateway/stream/mod.rs
+++ b/crates/cloverpost/src/gateway/stream/mod.rs
@@ -8,7 +8,9 @@
 
 mod escalate;
 mod relay;
+mod silence;
 mod start;
 
 pub use relay::{Relay, StreamAborted};
+pub use silence::Silence;
 pub use start::{StreamStart, start};
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -5,23 +5,27 @@
 use bytes::Bytes;
 use cloverpost_core::balance::Event;
 use cloverpost_core::dispatch::{Dispatch, Failure, Next};
+use cloverpost_core::hedge::{Hedge, Step};
 use cloverpost_core::refusal::Refusal;
 use cloverpost_core::{directory, id, time};
-use futures_util::{Stream, stream};
+use futures_util::stream::FuturesUnordered;
+use futures_util::{Stream, StreamExt, stream};
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 
 use crate::gateway::Shared;
-use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
+use crate::gateway::attempt::{self, End, UpstreamResponse};
 use crate::gateway::buffers::{self, Reservation};
 use crate::gateway::codec::Codec;
 use crate::gateway::events::{MAX_EVENT_BYTES, Splitter};
+use crate::gateway::hedge::{self, Grant, Plan, Signals, Watch};
 use crate::gateway::in_flight::InFlightGuard;
 use crate::gateway::job::Job;
 use crate::gateway::offers::Offer;
 use crate::gateway::path::Loss;
 use crate::gateway::pool::Connection;
 use crate::gateway::slot::UpstreamSlot;
+use crate::gateway::stream::silence::Silence;
 use crate::gateway::{crashes, response, rollout_evidence, selection, shutdown, unary};
 
 /// The response stream was aborted; the caller's connection closes without the final chunk.
@@ -39,10 +43,12 @@
 /// Forwards events to the caller and resumes an interrupted run on another upstream.
 pub struct Relay<C: Codec> {
     shared: Arc<Shared<C>>,
-    job: Job,
+    job: Arc<Job>,
     dispatch: Dispatch,
     tried: Vec<id::Upstream>,
     model: Option<id::Model>,
+    /// Whether a retry taken from the budget has not led to work on any upstream yet.
+    has_unspent_retry: bool,
     splitter: Splitter,
     /// Memory for an event that is incomplete and large.
     reservation: Option<Reservation>,
@@ -69,6 +75,8 @@
     head_received: time::Moment,
     /// Number of events from earlier runs.
     events_before: u32,
+    /// Number of attempts before it.
+    attempts_before: usize,
     /// Whether the pace of this run was recorded.
     is_pace_recorded: bool,
     /// Whether the body ends with its connection.
@@ -77,6 +85,46 @@
     is_proven: bool,
 }
 
+/// A frame of a response's body.
+type BodyFrame = Option<Result<Frame<Bytes>, hyper::Error>>;
+
+/// What a frame holds.
+enum Part {
+    /// Complete events.
+    Events(Bytes),
+    /// The end of the stream.
+    End,
+    /// A part of an event.
+    Incomplete,
+}
+
+impl<C: Codec> UpstreamRun<C> {
+    /// The run of `response`, after `events_before` events of earlier runs.
+    fn new(
+        response: UpstreamResponse<C>,
+        now: time::Moment,
+        events_before: u32,
+        attempts_before: usize,
+    ) -> Self {
+        Self {
+            slot: response.slot,
+            connection: response.connection,
+            body: response.body,
+            head_received: now,
+            events_before,
+            attempts_before,
+            is_pace_recorded: false,
+            is_unframed: response.is_unframed,
+            is_proven: true,
+        }
+    }
+
+    /// Whether it is the first attempt of the request.
+    const fn is_first(&self) -> bool {
+        self.attempts_before == 0
+    }
+}
+
 impl<C: Codec> Relay<C> {
     /// Relays `response`, which `model` generates.
     pub fn new(
@@ -88,25 +136,19 @@
         response: UpstreamResponse<C>,
     ) -> Self {
         let offer = unary::offer_body(shared, &job, &dispatch, response.is_failure);
+        let (head, now) = (response.head.clone(), shared.clock.now());
+        let attempts_before = tried.len().saturating_sub(1);
         Self {
             shared: shared.clone(),
-            job,
+            job: Arc::new(job),
             dispatch,
             tried,
             model,
+            has_unspent_retry: false,
             splitter: Splitter::default(),
             reservation: None,
-            head: response.head,
-            running: Some(UpstreamRun {
-                slot: response.slot,
-                connection: response.connection,
-                body: response.body,
-                head_received: shared.clock.now(),
-                events_before: 0,
-                is_pace_recorded: false,
-                is_unframed: response.is_unframed,
-                is_proven: true,
-            }),
+            head,
+            running: Some(UpstreamRun::new(response, now, 0, attempts_before)),
             outcome: None,
             first_events: None,
             is_refused: false,
@@ -169,56 +211,216 @@
                 }
                 Err(failure) => failure,
             };
-            self.running = None;
+            self.drop_run();
             self.resume(failure).await?;
         }
     }
 
-    /// Reads the next complete events of the current run; `None` at its end.
+    /// Reads the next complete events; `None` at the end of the stream. While the run is silent, another
+    /// one is begun in its place.
     async fn read_events(&mut self) -> Result<Option<Bytes>, Failure> {
-        let may_resume = self.job.route.kind.is_idempotent() && self.dispatch.may_run_again();
-        let running = self.running.as_mut().ok_or(Failure::ConnectionLost)?;
         let since = self.shared.clock.now();
         loop {
-            let frame = tokio::select! {
-                frame = running.body.frame() => frame,
-                failure = wait_for_stall(&self.shared, &self.job, &running.slot, since, may_resume) => {
-                    // The upstream was not silent: it did not end its event.
-                    if self.reservation.is_some() {
-                        running.slot.record(Event::Broke);
+            let may_resume = self.dispatch.may_begin(1, since);
+            let running = self.running.as_mut().ok_or(Failure::ConnectionLost)?;
+            let (shared, job) = (&self.shared, &*self.job);
+            let plan = Plan {
+                model: self.model.as_ref(),
+                last_event: self.splitter.last_id(),
+                has_unspent_retry: self.has_unspent_retry,
+                other_runs: 0,
+            };
+            let signals = Signals::default();
+            let watch = Watch {
+                run: Some(Silence::new(shared, job, &running.slot, since, may_resume)),
+                attempts: &signals,
+            };
+            let hedge = Hedge::of_run();
+            let grant =
+                hedge::granted(shared, job, &self.dispatch, hedge, plan, &self.tried, watch);
+            let part = tokio::select! {
+                frame = running.body.frame() => self.take_frame(frame).await?,
+                grant = grant => self.replace(grant, since).await?,
+                () = hedge::expired(shared, job) => return Err(self.expire()),
+            };
+            match part {
+                Part::Events(events) => return Ok(Some(events)),
+                Part::End => return Ok(None),
+                Part::Incomplete => {}
+            }
+        }
+    }
+
+    /// Takes a frame of the current run.
+    async fn take_frame(&mut self, frame: BodyFrame) -> Result<Part, Failure> {
+        let data = match frame {
+            None if self.splitter.has_partial_event() => return Err(self.record_lost().await),
+            None => return self.check_end().await.map(|()| Part::End),
+            Some(Err(_)) => return Err(self.record_lost().await),
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        let running = self.running.as_ref().ok_or(Failure::ConnectionLost)?;
+        running.connection.record_part();
+        running.slot.record(Event::Heard);
+        let Ok(events) = self.splitter.push(&data) else {
+            running.slot.record(Event::Broke);
+            return Err(Failure::Malformed);
+        };
+        if !events.is_empty() {
+            let reservation = self.reservation.take();
+            return Ok(Part::Events(match reservation {
+                Some(reservation) => reservation.attach(events),
+                None => events,
+            }));
+        }
+        let is_large = self.splitter.partial_bytes() > buffers::UNRESERVED_BYTES;
+        if is_large && self.reservation.is_none() {
+            let left = self.job.deadline.since(self.shared.clock.now());
+            let reserve = self.shared.buffers.reserve(2 * MAX_EVENT_BYTES);
+            let reservation = tokio::time::timeout(left, reserve).await;
+            self.reservation = Some(reservation.map_err(|_elapsed| Failure::Stalled)?);
+        }
+        Ok(Part::Incomplete)
+    }
+
+    /// Sends the request to the upstream of `grant` beside the current run, which has been silent since
+    /// `since`. The one that gives the next part goes on.
+    async fn replace(&mut self, grant: Grant, since: time::Moment) -> Result<Part, Failure> {
+        let (shared, job, model) = (self.shared.clone(), self.job.clone(), self.model.clone());
+        let last_event = self.splitter.last_id().map(str::to_owned);
+        let mut plan = Plan {
+            model: model.as_ref(),
+            last_event: last_event.as_deref(),
+            ..Plan::default()
+        };
+        let mut hedge = Hedge::of_run();
+        let mut attempts = FuturesUnordered::new();
+        let mut signals = Signals::default();
+        let Grant {
+            upstream,
+            failure: silence,
+        } = grant;
+        let mut next = Some(upstream);
+        loop {
+            if let Some(upstream) = next.take() {
+                self.tried.push(upstream.id.clone());
+                hedge.begin();
+                let options = plan.options(&shared, &self.dispatch, hedge, &self.tried);
+                attempts.push(hedge::begin(
+                    &shared,
+                    &job,
+                    upstream,
+                    options,
+                    signals.add(),
+                ));
+            }
+            let (slot, body) = match &mut self.running {
+                Some(run) => (Some(&run.slot), Some(&mut run.body)),
+                None => (None, None),
+            };
+            let watch = Watch {
+                run: slot.map(|slot| Silence::new(&shared, &job, slot, since, true)),
+                attempts: &signals,
+            };
+            let grant = hedge::granted(
+                &shared,
+                &job,
+                &self.dispatch,
+                hedge,
+                plan,
+                &self.tried,
+                watch,
+            );
+            let ended = tokio::select! {
+                frame = next_frame(body) => match self.take_frame(frame).await {
+                    Ok(part) => {
+                        hedge::discard(&shared, &job, &mut self.dispatch, hedge.keep());
+                        self.has_unspent_retry = plan.has_unspent_retry;
+                        return Ok(part);
                     }
-                    return Err(failure);
+                    Err(failure) => {
+                        self.drop_run();
+                        hedge.run_failed();
+                        self.dispatch.record_last_failure(failure);
+                        continue;
+                    }
+                },
+                Some(ended) = attempts.next() => ended,
+                grant = grant => {
+                    plan.has_unspent_retry = false;
+                    next = Some(grant.upstream);
+                    continue;
                 }
+                () = hedge::expired(&shared, &job) => return Err(self.expire()),
             };
-            let data = match frame {
-                None if self.splitter.has_partial_event() => return Err(self.record_lost().await),
-                None => return self.check_end().await.map(|()| None),
-                Some(Err(_)) => return Err(self.record_lost().await),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
-            running.connection.record_part();
-            running.slot.record(Event::Heard);
-            let Ok(events) = self.splitter.push(&data) else {
-                running.slot.record(Event::Broke);
-                return Err(Failure::Malformed);
+            signals.remove(&ended);
+            let failure = match ended.result {
+                Ok(response) if !response.is_failure => {
+                    hedge::discard(&shared, &job, &mut self.dispatch, hedge.switch());
+                    if self.running.is_some() {
+                        self.dispatch.record_last_failure(silence);
+                    }
+                    self.switch_to(response);
+                    return Ok(Part::Incomplete);
+                }
+                Ok(_) => Failure::Failed,
+                Err(failure) => failure,
             };
-            if !events.is_empty() {
-                let reservation = self.reservation.take();
-                return Ok(Some(match reservation {
-                    Some(reservation) => reservation.attach(events),
-                    None => events,
-                }));
+            if hedge.attempt_failed() == Step::Retry {
+                return Err(failure);
             }
-            let is_large = self.splitter.partial_bytes() > buffers::UNRESERVED_BYTES;
-            if is_large && self.reservation.is_none() {
-                let left = self.job.deadline.since(self.shared.clock.now());
-                let reserve = self.shared.buffers.reserve(2 * MAX_EVENT_BYTES);
-                let reservation = tokio::time::timeout(left, reserve).await;
-                self.reservation = Some(reservation.map_err(|_elapsed| Failure::Stalled)?);
+            hedge::record(&shared, &job, "failed");
+            self.dispatch.record_last_failure(failure);
+            plan.has_unspent_retry |= failure.is_exempt_from_budget();
+            if attempts.is_empty() {
+                self.has_unspent_retry = plan.has_unspent_retry;
+                return Ok(Part::Incomplete);
             }
         }
     }
 
+    /// Continues the stream with `response`.
+    fn switch_to(&mut self, response: UpstreamResponse<C>) {
+        self.drop_run();
+        log::info!(
+            id = self.job.head.id.as_str(), upstream = response.slot.upstream.id.as_str(),
+            after = self.splitter.last_id().unwrap_or("start"), sends = self.tried.len();
+            "stream continues at another upstream"
+        );
+        let route = self.job.route.name.as_str();
+        let resumed = &self.shared.metrics.resumed;
+        resumed.with_label_values(&[route]).inc();
+        let now = self.shared.clock.now();
+        self.running = Some(UpstreamRun::new(
+            response,
+            now,
+            self.splitter.count(),
+            self.tried.len() - 1,
+        ));
+        self.has_unspent_retry = false;
+    }
+
+    /// Drops the current run, and what it has given of an event.
+    fn drop_run(&mut self) {
+        self.record_unfinished_event();
+        self.running = None;
+        self.splitter.discard_partial();
+        self.reservation = None;
+    }
+
+    /// Ends the current run at the job's deadline.
+    fn expire(&mut self) -> Failure {
+        self.record_unfinished_event();
+        Failure::Stalled
+    }
+
+    /// Records an upstream that is not silent, but does not end its event.
+    fn record_unfinished_event(&self) {
+        if let Some(running) = self.running.as_ref().filter(|_| self.reservation.is_some()) {
+            running.slot.record(Event::Broke);
+        }
+    }
+
     /// Records that the current run broke off.
     async fn record_lost(&self) -> Failure {
         let Some(running) = &self.running else {
@@ -233,16 +435,11 @@
         }
         let (upstream, began) = (&slot.upstream, running.head_received);
         let is_crash = loss == Loss::Upstream;
-        let is_first = self.is_first_attempt();
+        let is_first = running.is_first();
         rollout_evidence::record_cut(&self.shared, &self.job, upstream, began, is_crash, is_first);
         failure
     }
 
-    /// Whether the current run is the first attempt of the request.
-    const fn is_first_attempt(&self) -> bool {
-        self.tried.len() <= 1
-    }
-
     /// Checks whether the current run, whose body has ended, is complete.
     async fn check_end(&mut self) -> Result<(), Failure> {
         let Some(running) = self.running.as_mut().filter(|run| run.is_unframed) else {
@@ -255,8 +452,6 @@
 
     /// Resumes the stream on another upstream after a failure, if a retry is allowed.
     async fn resume(&mut self, mut failure: Failure) -> Result<(), Refusal> {
-        self.splitter.discard_partial();
-        self.reservation = None;
         loop {
             log::info!(
                 id = self.job.head.id.as_str(), result = failure.as_str(),
@@ -273,47 +468,33 @@
             else {
                 return Err(self.dispatch.no_upstream());
             };
-            failure = match self.resume_on(&upstream).await {
+            failure = match self.resume_on(upstream).await {
                 Ok(()) => return Ok(()),
                 Err(failure) => failure,
             };
         }
     }
 
-    async fn resume_on(&mut self, upstream: &Arc<directory::Upstream>) -> Result<(), Failure> {
+    async fn resume_on(&mut self, upstream: Arc<directory::Upstream>) -> Result<(), Failure> {
         self.tried.push(upstream.id.clone());
-        let options = AttemptOptions {
+        let plan = Plan {
             model: self.model.as_ref(),
             last_event: self.splitter.last_id(),
-            may_retry: self.dispatch.may_run_again(),
-            attempts_before: self.tried.len() - 1,
+            ..Plan::default()
         };
-        let response = attempt::send(&self.shared, &self.job, upstream, options).await?;
+        let (dispatch, tried) = (&mut self.dispatch, &mut self.tried);
+        let response =
+            hedge::send(&self.shared, &self.job, dispatch, tried, plan, upstream).await?;
         if response.is_failure {
             return Err(Failure::Failed);
         }
-        self.shared
-            .metrics
-            .resumed
-            .with_label_values(&[self.job.route.name.as_str()])
-            .inc();
-        self.running = Some(UpstreamRun {
-            slot: response.slot,
-            connection: response.connection,
-            body: response.body,
-            head_received: self.shared.clock.now(),
-            events_before: self.splitter.count(),
-            is_pace_recorded: false,
-            is_unframed: response.is_unframed,
-            is_proven: true,
-        });
+        self.switch_to(response);
         Ok(())
     }
 
     /// Records the pace of the run as rollout evidence, once, after `min_events` events. A slow
     /// stream may outlast the rollout, so this does not wait for its end.
     fn record_pace(&mut self, min_events: u32) {
-        let is_first = self.is_first_attempt();
         let Some(running) = self.running.as_mut().filter(|run| !run.is_pace_recorded) else {
             return;
         };
@@ -333,7 +514,7 @@
             model,
             began,
             pace,
-            is_first,
+            running.is_first(),
         );
     }
 
@@ -372,38 +553,11 @@
 /// Events of a run after which its pace is recorded if the stream has ended.
 const MIN_PACE_EVENTS_AT_END: u32 = 2;
 
-/// Completes when the run should be abandoned: at the job's deadline, or when the upstream is
-/// silent on all requests and the stream can be resumed elsewhere.
-///
-/// A host that lost power sends no reset, so silence is the only sign. While the upstream
-/// sends data on other requests, or no retry is left, the stream keeps waiting.
-async fn wait_for_stall<C: Codec>(
-    shared: &Arc<Shared<C>>,
-    job: &Job,
-    slot: &UpstreamSlot<C>,
-    since: time::Moment,
-    may_resume: bool,
-) -> Failure {
-    let mut is_recorded = false;
-    let mut failure = Failure::Stalled;
-    loop {
-        let now = shared.clock.now();
-        let left = job.deadline.since(now);
-        if left.is_zero() {
-            return failure;
-        }
-        let silence = shared.balancer().silence(&slot.upstream.id, since, now);
-        if may_resume && job.body.is_held() && silence >= attempt::SILENCE_TIMEOUT {
-            if !std::mem::replace(&mut is_recorded, true) {
-                failure = attempt::record_silent(shared, slot, failure).await;
-            }
-            if selection::may_send_again(shared, job) {
-                return failure;
-            }
-        }
-        let rest = attempt::SILENCE_TIMEOUT.saturating_sub(silence);
-        let rest = rest.max(attempt::MIN_POLL_INTERVAL);
-        tokio::time::sleep(left.min(rest)).await;
+/// The next frame of `body`; never without one.
+async fn next_frame(body: Option<&mut Incoming>) -> BodyFrame {
+    match body {
+        Some(body) => body.frame().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/cloverpost/src/gateway/stream/start.rs
+++ b/crates/cloverpost/src/gateway/stream/start.rs
@@ -6,8 +6,8 @@
 use cloverpost_core::refusal::Refusal;
 
 use crate::gateway::Shared;
-use crate::gateway::attempt::{self, AttemptOptions};
 use crate::gateway::codec::Codec;
+use crate::gateway::hedge::{self, Plan};
 use crate::gateway::job::Job;
 use crate::gateway::response::FullResponse;
 use crate::gateway::stream::{Relay, escalate};
@@ -29,7 +29,7 @@
     let mut tried = Vec::new();
     let mut failed_upstreams = Vec::new();
     let mut failure_response = None;
-    let mut model = job.route.models.first().cloned();
+    let model = job.route.models.first().cloned();
     shared.record_first_attempt(&job.service);
     loop {
         // Once every upstream was tried, those that did not fail come first, as they may
@@ -44,13 +44,13 @@
             );
         };
         tried.push(upstream.id.clone());
-        let options = AttemptOptions {
+        let begun = tried.len() - 1;
+        let plan = Plan {
             model: model.as_ref(),
-            last_event: None,
-            may_retry: dispatch.may_run_again(),
-            attempts_before: tried.len() - 1,
+            ..Plan::default()
         };
-        let failure = match attempt::send(shared, &job, &upstream, options).await {
+        let response = hedge::send(shared, &job, &mut dispatch, &mut tried, plan, upstream);
+        let failure = match response.await {
             Ok(response) if response.is_failure => {
                 match unary::read_full(shared, &job, response).await {
                     Ok(received) => {
@@ -61,20 +61,15 @@
                 }
             }
             Ok(response) => {
-                let larger_model =
-                    escalate::larger_model(shared, &job, &dispatch, model.as_ref(), &response);
-                if larger_model.is_none() {
-                    let relay = Relay::new(shared, job, dispatch, tried, model, response);
-                    return buffer_first_events(relay).await;
-                }
-                dispatch.record_discarded();
-                unary::record_sent_again(shared, &job, &dispatch, "larger_model");
-                model = larger_model;
-                continue;
+                let escalated =
+                    escalate::escalate(shared, &job, &mut dispatch, &mut tried, model, response);
+                let (model, response) = escalated.await;
+                let relay = Relay::new(shared, job, dispatch, tried, model, response);
+                return buffer_first_events(relay).await;
             }
             Err(failure) => failure,
         };
-        failed_upstreams.push(upstream.id.clone());
+        failed_upstreams.extend_from_slice(&tried[begun..]);
         match unary::next_step(shared, &job, &mut dispatch, failure).await {
             Next::Retry => {}
             Next::Refuse(refusal) => {
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -11,10 +11,11 @@
 use hyper::body::{Body, Incoming};
 
 use crate::gateway::Shared;
-use crate::gateway::attempt::{self, AttemptOptions, End, UpstreamResponse};
+use crate::gateway::attempt::{self, End, UpstreamResponse};
 use crate::gateway::buffers::{self, Reservation};
 use crate::gateway::codec::Codec;
 use crate::gateway::crashes;
+use crate::gateway::hedge::{self, Plan};
 use crate::gateway::job::Job;
 use crate::gateway::offers::Offer;
 use crate::gateway::pool::Connection;
@@ -73,12 +74,15 @@
             );
         };
         tried.push(upstream.id.clone());
-        let options = AttemptOptions {
-            may_retry: dispatch.may_run_again(),
-            attempts_before: tried.len() - 1,
-            ..AttemptOptions::default()
-        };
-        let result = match attempt::send(shared, job, &upstream, options).await {
+        let response = hedge::send(
+            shared,
+            job,
+            &mut dispatch,
+            &mut tried,
+            Plan::default(),
+            upstream,
+        );
+        let result = match response.await {
             Ok(response) => {
                 let _offer = offer_body(shared, job, &dispatch, response.is_failure);
                 read_full(shared, job, response).await
