fix(cloverpost): a response whose status ends no request is no answer

What callers saw: the status 101, without a body, and 600 to 999, with the upstream's body, as answers, on all routes of a gateway and through `serve`. With 999 and the header that says "not started", `serve` told its caller that the request had not run.

Cause: only statuses that the HTTP library rejects were taken for broken. It accepts 101 and up to 999, and they counted as failures of the upstream's own, which are forwarded. Class: what is not known to be an answer is taken for one.

Change: a response with another status than 200 to 599 is a failure of its own, `bad_status`: the request may have run, the upstream is recorded as broken, a roll-out counts it as failed, and nothing else in the head is believed. A request that may run again goes elsewhere; others get 502.

--- a/crates/cloverpost-core/src/dispatch/failure.rs
+++ b/crates/cloverpost-core/src/dispatch/failure.rs
@@ -19,6 +19,8 @@
     Failed,
     /// The response belongs to another request; the outcome of this one is unknown.
     Mismatched,
+    /// The response has a status that ends no request, so it says nothing of this one.
+    BadStatus,
     /// The response was truncated, or its end marker is missing.
     Truncated,
     /// The response is malformed.
@@ -37,7 +39,8 @@
             | Self::PathLost
             | Self::TimedOut
             | Self::Failed
-            | Self::Mismatched => Ran::Unknown,
+            | Self::Mismatched
+            | Self::BadStatus => Ran::Unknown,
             Self::Truncated | Self::Malformed | Self::Stalled => Ran::Yes,
         }
     }
@@ -65,6 +68,7 @@
             | Self::PathLost
             | Self::Failed
             | Self::Mismatched
+            | Self::BadStatus
             | Self::Truncated
             | Self::Malformed => Code::UpstreamFailed,
         }
@@ -81,6 +85,7 @@
             Self::TimedOut => "timed_out",
             Self::Failed => "failed",
             Self::Mismatched => "mismatched",
+            Self::BadStatus => "bad_status",
             Self::Truncated => "cut",
             Self::Malformed => "garbled",
             Self::Stalled => "stalled",
--- a/crates/cloverpost-core/tests/behaviour/dispatch/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/dispatch/mod.rs
@@ -7,7 +7,7 @@
 use proptest::test_runner;
 use rstest::rstest;
 
-const ALL: [Failure; 10] = [
+const ALL: [Failure; 11] = [
     Failure::NotSent,
     Failure::NotStarted,
     Failure::ConnectionLost,
@@ -15,6 +15,7 @@
     Failure::TimedOut,
     Failure::Failed,
     Failure::Mismatched,
+    Failure::BadStatus,
     Failure::Truncated,
     Failure::Malformed,
     Failure::Stalled,
@@ -36,6 +37,7 @@
 #[case::timed_out(Failure::TimedOut, Ran::Unknown)]
 #[case::failed(Failure::Failed, Ran::Unknown)]
 #[case::mismatched(Failure::Mismatched, Ran::Unknown)]
+#[case::bad_status(Failure::BadStatus, Ran::Unknown)]
 #[case::truncated(Failure::Truncated, Ran::Yes)]
 #[case::malformed(Failure::Malformed, Ran::Yes)]
 #[case::stalled(Failure::Stalled, Ran::Yes)]
--- a/crates/cloverpost/src/front/execute.rs
+++ b/crates/cloverpost/src/front/execute.rs
@@ -148,6 +148,9 @@
         .await
         .inspect_err(|failure| record_timeout(job, &slot, *failure))?;
     let (head, body) = response.into_parts();
+    if !upstream::is_final(head.status) {
+        return Err(Failure::BadStatus);
+    }
     if proves_not_started(state, job, &head) {
         record_overload(job, &slot, head.status);
         return Err(Failure::NotStarted);
--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -27,6 +27,7 @@
 use crate::gateway::shutdown;
 use crate::gateway::slot::UpstreamSlot;
 use crate::gateway::statements;
+use crate::upstream;
 
 /// Time without data from an upstream, on any of this VM's requests, after which a stream
 /// that waits there is retried on another upstream. It must exceed the silence of an
@@ -199,6 +200,10 @@
         }
     };
     let (head, body) = response.into_parts();
+    if !upstream::is_final(head.status) {
+        slot.record(Event::Broke);
+        return Err(Failure::BadStatus);
+    }
     connection.record_part();
     connection.record_keep_alive(&head);
     let classification = shared.codec.classify_response(&job.head.id, &head);
@@ -432,7 +437,7 @@
         Ok(response) if response.is_failure => HeadOutcome::Failed,
         Ok(_) => HeadOutcome::Received,
         Err(Failure::ConnectionLost) => HeadOutcome::Lost,
-        Err(Failure::Mismatched | Failure::Malformed) => HeadOutcome::Failed,
+        Err(Failure::Mismatched | Failure::BadStatus | Failure::Malformed) => HeadOutcome::Failed,
         Err(_) => HeadOutcome::NotRun,
     };
     if matches!(result, Err(Failure::TimedOut)) {
--- a/crates/cloverpost/src/upstream/client.rs
+++ b/crates/cloverpost/src/upstream/client.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use cloverpost_core::dispatch::Failure;
 use cloverpost_core::time;
+use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy;
@@ -27,6 +28,12 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Whether `status` ends a request. An interim status does not, and others are none of HTTP's.
+#[must_use]
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Sends calls to upstreams over pooled connections.
 #[derive(Clone, Debug)]
 pub struct Client {
--- a/crates/cloverpost/src/upstream/mod.rs
+++ b/crates/cloverpost/src/upstream/mod.rs
@@ -10,6 +10,5 @@
 mod slot;
 
 pub use call::Call;
-pub use client::Client;
-pub use client::{NOT_STARTED, REQUEST_ID, TIMEOUT};
+pub use client::{Client, NOT_STARTED, REQUEST_ID, TIMEOUT, is_final};
 pub use slot::Slot;
--- a/crates/cloverpost/tests/behaviour/front/matrix/upstream.rs
+++ b/crates/cloverpost/tests/behaviour/front/matrix/upstream.rs
@@ -35,6 +35,8 @@
 #[case::late(Fault::Delay { at: Point::AfterHeaders, duration: Duration::from_millis(20) }, [COMPLETE, COMPLETE, COMPLETE, COMPLETE, COMPLETE])]
 #[case::refused_with_proof(Fault::Reject { status: 429, not_started: true }, [NOT_RUN, NOT_RUN, NOT_RUN, NOT_RUN, NOT_RUN])]
 #[case::refused_without_proof(Fault::Reject { status: 500, not_started: false }, [FAILED, FAILED, FAILED, Outcome::ServiceError(500), Outcome::ServiceError(500)])]
+#[case::status_beyond_http(Fault::Reject { status: 600, not_started: false }, [FAILED, FAILED, FAILED, FAILED, FAILED])]
+#[case::status_beyond_http_with_proof(Fault::Reject { status: 999, not_started: true }, [FAILED, FAILED, FAILED, FAILED, FAILED])]
 #[tokio::test]
 async fn a_fault_of_every_upstream_is_reported_accurately(
     #[case] fault: Fault,
