fix(cloverpost): an early response without a length is complete only once the request is written

What callers saw: a part of a response as a whole one, 200 with a length and an intact end, if the upstream answered a large request before it had read it, without a length, ended its side of the connection and reset it a moment later.

Cause: the end of the connection is the end of such a body. Whether the upstream crashed is checked, but not whether it had taken the request. Class: what may be the end of a response is taken for it.

Change: the meter of a connection knows whether the latest write took all that was offered. A response that ends with its connection while a part of the request waits to be written is cut: another upstream is asked where that is allowed, else the caller gets 502, or a stream without its last chunk.

Failed before: an_early_response_that_breaks_off_is_not_complete with neither length nor chunks and a half-closed connection (both sizes), and the same case of an_early_response_that_breaks_off_behind_a_tunnel_is_not_complete. The 22 other cases (with a length or chunks, reset at once or later, large parts, a kept connection, a stop) were right already. What an upstream's kernel has buffered counts as written, so a small request is not covered.

--- a/crates/cloverpost/src/gateway/attempt.rs
+++ b/crates/cloverpost/src/gateway/attempt.rs
@@ -291,14 +291,23 @@
     loss
 }
 
-/// What ended the connection of an unframed response: an upstream that crashes closes its connections
-/// like one that has written all of the body.
+/// What ended `connection`, and with it an unframed response: an upstream that crashes closes its
+/// connections like one that has written all of the body. One that has not read the request has not.
 pub async fn find_end<C: Codec>(
     shared: &Arc<Shared<C>>,
     job: &Job,
     slot: &UpstreamSlot<C>,
+    connection: &Connection,
 ) -> Result<End, Failure> {
     slot.end();
+    if connection.is_request_pending() {
+        log::info!(
+            id = job.head.id.as_str(), upstream = slot.upstream.id.as_str();
+            "a response without a length ended before the request was written"
+        );
+        slot.record(Event::Broke);
+        return Err(Failure::Truncated);
+    }
     match crashes::record_lost(shared, job, &slot.upstream).await {
         Loss::Connection => Ok(End::Complete),
         Loss::Path => Ok(End::Unproven),
--- a/crates/cloverpost/src/gateway/metered.rs
+++ b/crates/cloverpost/src/gateway/metered.rs
@@ -1,4 +1,4 @@
-//! A stream from an upstream that fails once a [`Meter`] has counted too many bytes.
+//! A stream to an upstream whose bytes a [`Meter`] counts. It fails once too many have arrived.
 
 use std::io;
 use std::pin::Pin;
@@ -8,7 +8,7 @@
 
 use crate::gateway::meter::Meter;
 
-/// A stream whose incoming bytes are counted.
+/// A stream whose bytes are counted.
 #[derive(Debug)]
 pub struct Metered<S> {
     stream: S,
@@ -16,10 +16,24 @@
 }
 
 impl<S> Metered<S> {
-    /// Counts the bytes that arrive on `stream` with `meter`.
+    /// Counts the bytes of `stream` with `meter`.
     pub const fn new(stream: S, meter: Meter) -> Self {
         Self { stream, meter }
     }
+
+    /// Records the result of a write of `offered` bytes.
+    fn record_write(
+        &self,
+        write: Poll<io::Result<usize>>,
+        offered: usize,
+    ) -> Poll<io::Result<usize>> {
+        let written = match &write {
+            Poll::Ready(Ok(written)) => *written,
+            Poll::Ready(Err(_)) | Poll::Pending => 0,
+        };
+        self.meter.record_write(written, offered);
+        write
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for Metered<S> {
@@ -44,7 +58,8 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let write = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.record_write(write, buf.len())
     }
 
     fn poll_write_vectored(
@@ -52,7 +67,8 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let write = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.record_write(write, bufs.iter().map(|buf| buf.len()).sum())
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/cloverpost/src/gateway/pool.rs
+++ b/crates/cloverpost/src/gateway/pool.rs
@@ -80,7 +80,7 @@
     via: Option<Via>,
     /// Keep-alive timeout that the upstream stated.
     keep_alive: Option<Duration>,
-    /// Bytes since the last part of a response.
+    /// Bytes since the last part of a response, and whether a part of a request waits to be written.
     meter: Meter,
     opened: time::Moment,
     /// When leave to open the connection was given.
@@ -124,6 +124,12 @@
         self.permitted
     }
 
+    /// Whether a part of the request waits to be written.
+    #[must_use]
+    pub fn is_request_pending(&self) -> bool {
+        self.meter.is_stuck()
+    }
+
     /// Whether the connection takes no further request.
     #[must_use]
     pub fn is_over(&self) -> bool {
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -445,7 +445,8 @@
         let Some(running) = self.running.as_mut().filter(|run| run.is_unframed) else {
             return Ok(());
         };
-        let end = attempt::find_end(&self.shared, &self.job, &running.slot).await?;
+        let (slot, connection) = (&running.slot, &running.connection);
+        let end = attempt::find_end(&self.shared, &self.job, slot, connection).await?;
         running.is_proven = end == End::Complete;
         Ok(())
     }
--- a/crates/cloverpost/src/gateway/unary.rs
+++ b/crates/cloverpost/src/gateway/unary.rs
@@ -206,7 +206,7 @@
         }
     };
     let end = if is_unframed {
-        attempt::find_end(shared, job, &slot).await?
+        attempt::find_end(shared, job, &slot, &connection).await?
     } else {
         shared.pool.put_back(connection);
         End::Complete
