fix(cloverpost): a stopping VM begins streams that will probably end in time

Cause: one in 100 streams takes 10 and 11.5 s there, of a grace of 8 s; half of them end within 1.9 and 3.4 s, three in four within 6 s. So any estimate that nearly all keep refuses a route from the signal on.

Change: the share that may be cut depends on what a cut costs. A caller whose request can be sent again has one retry after a refusal, and the same after a cut, with the events that it has: such a request is begun if three in four end in time. Others, whose callers would not learn whether they ran, as before if all but one in 100 do.

--- a/crates/cloverpost-core/src/shutdown/durations.rs
+++ b/crates/cloverpost-core/src/shutdown/durations.rs
@@ -22,9 +22,9 @@
         self.0.insert(route.clone(), recent);
     }
 
-    /// Time that one in 100 requests of `route` exceeds; `None` if none has been recorded.
+    /// Time that a share of `exceeded` requests of `route` exceeds; `None` if none has been recorded.
     #[must_use]
-    pub fn upper_estimate(&self, route: &id::Entry) -> Option<Duration> {
-        self.0.get(route)?.upper_estimate()
+    pub fn upper_estimate(&self, route: &id::Entry, exceeded: f64) -> Option<Duration> {
+        self.0.get(route)?.upper_estimate(exceeded)
     }
 }
--- a/crates/cloverpost-core/src/shutdown/recent.rs
+++ b/crates/cloverpost-core/src/shutdown/recent.rs
@@ -4,8 +4,6 @@
 
 /// Number of durations that are kept.
 const CAPACITY: usize = 199;
-/// Share of requests that take longer than the estimate.
-const EXCEEDED: f64 = 0.01;
 /// Exponent by which the estimate grows beyond the longest duration while too few are known.
 const TAIL_EXPONENT: f64 = 0.25;
 
@@ -28,22 +26,19 @@
         self.oldest = (self.oldest + 1) % CAPACITY;
     }
 
-    /// Time that [`EXCEEDED`] of the requests exceed; `None` if none has been recorded.
+    /// Time that a share of `exceeded` requests exceeds; `None` if none has been recorded.
     ///
     /// Of `n` requests, the next one exceeds the longest with a probability of 1 in `n + 1`. If that is too
     /// much, a tail beyond the longest is assumed.
     #[must_use]
-    pub fn upper_estimate(&self) -> Option<Duration> {
+    pub fn upper_estimate(&self, exceeded: f64) -> Option<Duration> {
         let outcomes = f64::from(u32::try_from(self.durations.len() + 1).unwrap_or(u32::MAX));
+        let longer = outcomes * exceeded;
         let mut sorted = self.durations.clone();
         sorted.sort_unstable_by(|one, other| other.cmp(one));
-        let mut exceeded = 1;
-        while f64::from(exceeded + 1) <= outcomes * EXCEEDED {
-            exceeded += 1;
-        }
-        let index = usize::try_from(exceeded).unwrap_or(usize::MAX) - 1;
-        let longest = sorted.get(index)?;
-        let excess = 1.0 / (outcomes * EXCEEDED);
-        Some(longest.mul_f64(excess.max(1.0).powf(TAIL_EXPONENT)))
+        let mut ranked = (1_u32..).zip(&sorted);
+        let within = ranked.find(|(rank, _)| f64::from(rank + 1) > longer);
+        let (_, duration) = within?;
+        Some(duration.mul_f64(longer.min(1.0).powf(-TAIL_EXPONENT)))
     }
 }
--- a/crates/cloverpost-core/tests/behaviour/shutdown/mod.rs
+++ b/crates/cloverpost-core/tests/behaviour/shutdown/mod.rs
@@ -10,6 +10,8 @@
 use rand::{Rng, SeedableRng};
 
 const MAX_MS: u64 = 20_000;
+/// One in 100 requests.
+const RARELY: f64 = 0.01;
 
 fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -57,7 +59,7 @@
         let mut longer = 0;
         for (number, share) in shares.into_iter().enumerate() {
             let duration = millis(usual) + millis(spread).mul_f64(share);
-            let estimate = durations.upper_estimate(&route);
+            let estimate = durations.upper_estimate(&route, RARELY);
             longer += u32::from(number >= 20 && estimate.is_some_and(|estimate| duration > estimate));
             durations.record(&route, duration);
         }
@@ -70,8 +72,13 @@
 fn a_route_without_requests_has_no_estimate() {
     let mut durations = Durations::default();
     durations.record(&"r".parse().unwrap(), millis(100));
-    assert_eq!(durations.upper_estimate(&"other".parse().unwrap()), None);
-    let estimate = durations.upper_estimate(&"r".parse().unwrap()).unwrap();
+    assert_eq!(
+        durations.upper_estimate(&"other".parse().unwrap(), RARELY),
+        None
+    );
+    let estimate = durations
+        .upper_estimate(&"r".parse().unwrap(), RARELY)
+        .unwrap();
     assert!(
         estimate > millis(200) && estimate < millis(300),
         "{estimate:?}"
@@ -96,7 +103,7 @@
         for number in 0..600 {
             let duration = heavy_tailed(&mut rng);
             if number >= 200 {
-                let estimate = durations.upper_estimate(&route).unwrap();
+                let estimate = durations.upper_estimate(&route, RARELY).unwrap();
                 longer += u32::from(duration > estimate);
                 estimates.push(estimate);
             }
@@ -113,6 +120,22 @@
     assert!(high < millis(6_500), "{high:?}");
 }
 
+// Guards against an estimate of another share than was asked for.
+#[test]
+fn the_share_that_exceeds_an_estimate_is_the_one_asked_for() {
+    let route: id::Entry = "r".parse().unwrap();
+    let mut durations = Durations::default();
+    for duration in 1..=199 {
+        durations.record(&route, millis(duration));
+    }
+    for (exceeded, estimate) in [(0.01, 198), (0.25, 150), (0.5, 100)] {
+        assert_eq!(
+            durations.upper_estimate(&route, exceeded),
+            Some(millis(estimate))
+        );
+    }
+}
+
 // Guards against an estimate that stays with durations of long ago.
 #[test]
 fn the_estimate_follows_the_latest_requests() {
@@ -123,9 +146,15 @@
             durations.record(&route, millis(duration));
         }
     }
-    assert_eq!(durations.upper_estimate(&route), Some(millis(1_000)));
+    assert_eq!(
+        durations.upper_estimate(&route, RARELY),
+        Some(millis(1_000))
+    );
     for _ in 0..2 {
         durations.record(&route, millis(3_000));
     }
-    assert_eq!(durations.upper_estimate(&route), Some(millis(3_000)));
+    assert_eq!(
+        durations.upper_estimate(&route, RARELY),
+        Some(millis(3_000))
+    );
 }
--- a/crates/cloverpost/src/gateway/shutdown.rs
+++ b/crates/cloverpost/src/gateway/shutdown.rs
@@ -85,8 +85,19 @@
     }
 }
 
+/// Share of requests that are begun and cut, of those that can be sent again. Their callers go on
+/// elsewhere after the events that they have, as they would after a refusal.
+const CUT_REPEATABLE: f64 = 0.25;
+/// The same of those that cannot: their callers do not learn whether they ran.
+const CUT_AT_MOST_ONCE: f64 = 0.01;
+
 /// Time that few requests of `route` exceed. Until one has ended, its target latency stands for it.
 fn usual_duration<C: Codec>(shared: &Shared<C>, route: &directory::Route) -> Duration {
-    let estimate = shared.durations().upper_estimate(&route.name);
+    let cut = if route.kind.is_idempotent() {
+        CUT_REPEATABLE
+    } else {
+        CUT_AT_MOST_ONCE
+    };
+    let estimate = shared.durations().upper_estimate(&route.name, cut);
     estimate.unwrap_or(route.target_latency)
 }
