fix(cloverpost): discarded attempts count in rollouts as those that were given up did

Cause, by reading: a response that is kept while a larger model is asked held its place on the old version, and requests in flight there delay the stage in which the new version gets all traffic. Besides, an overdue attempt that is discarded ended without a result, so a version that does not answer was not counted as such.

Change: a response that serves only if another one fails is not counted as in flight; a discarded attempt that was overdue is evidence against its version, as it was when it was given up.

--- a/crates/cloverpost/src/gateway/hedge.rs
+++ b/crates/cloverpost/src/gateway/hedge.rs
@@ -7,7 +7,7 @@
 
 use cloverpost_core::dispatch::{Dispatch, Failure};
 use cloverpost_core::hedge::{Conditions, Denial, Hedge, Step};
-use cloverpost_core::{directory, id};
+use cloverpost_core::{directory, id, time};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 
@@ -17,7 +17,7 @@
 use crate::gateway::job::Job;
 use crate::gateway::overdue::Overdue;
 use crate::gateway::stream::Silence;
-use crate::gateway::{crashes, selection, shutdown, unary};
+use crate::gateway::{crashes, rollout_evidence, selection, shutdown, unary};
 
 /// Leave to send a job to one more upstream.
 pub struct Grant {
@@ -140,29 +140,52 @@
 
 /// Signals of the attempts in progress.
 #[derive(Debug, Default)]
-pub struct Signals(Vec<Overdue>);
+pub struct Signals(Vec<Signal>);
+
+/// The signal of one attempt.
+#[derive(Debug)]
+struct Signal {
+    overdue: Overdue,
+    upstream: Arc<directory::Upstream>,
+    sent: time::Moment,
+}
 
 impl Signals {
-    /// Adds the signal of a new attempt.
-    pub fn add(&mut self) -> Overdue {
+    /// Adds the signal of a new attempt on `upstream`, which is sent at `sent`.
+    pub fn add(&mut self, upstream: &Arc<directory::Upstream>, sent: time::Moment) -> Overdue {
         let overdue = Overdue::default();
-        self.0.push(overdue.clone());
+        self.0.push(Signal {
+            overdue: overdue.clone(),
+            upstream: upstream.clone(),
+            sent,
+        });
         overdue
     }
 
     /// Removes the signal of an attempt that has ended.
     pub fn remove<C: Codec>(&mut self, ended: &Ended<C>) {
-        self.0.retain(|overdue| !overdue.is(&ended.overdue));
+        self.0.retain(|signal| !signal.overdue.is(&ended.overdue));
     }
 
     /// Completes while all attempts are overdue; returns what the newest would end with.
     pub async fn all_overdue(&self) -> Failure {
         let mut newest = Failure::TimedOut;
-        for overdue in &self.0 {
-            newest = overdue.wait().await;
+        for signal in &self.0 {
+            newest = signal.overdue.wait().await;
         }
         newest
     }
+
+    /// Records that the attempts are discarded. One that was overdue is evidence against its version.
+    pub fn discard<C: Codec>(self, shared: &Arc<Shared<C>>, job: &Job, dispatch: &mut Dispatch) {
+        for signal in self.0 {
+            dispatch.record_discarded();
+            record(shared, job, "discarded");
+            if signal.overdue.get() == Some(Failure::TimedOut) {
+                rollout_evidence::record_timeout(shared, job, &signal.upstream, signal.sent);
+            }
+        }
+    }
 }
 
 /// What is in progress for a job: the run in use, if any, and attempts.
@@ -220,7 +243,8 @@
         if let Some(upstream) = next.take() {
             hedge.begin();
             let options = plan.options(shared, dispatch, hedge, tried);
-            attempts.push(begin(shared, job, upstream, options, signals.add()));
+            let overdue = signals.add(&upstream, shared.clock.now());
+            attempts.push(begin(shared, job, upstream, options, overdue));
         }
         let watch = Watch {
             run: None,
@@ -238,7 +262,8 @@
         signals.remove(&ended);
         let failure = match ended.result {
             Ok(response) if !response.is_failure => {
-                discard(shared, job, dispatch, hedge.switch());
+                hedge.switch();
+                signals.discard(shared, job, dispatch);
                 return Ok(response);
             }
             Ok(response) => {
@@ -255,11 +280,3 @@
         dispatch.record_last_failure(failure);
     }
 }
-
-/// Records that `count` attempts were discarded for another one.
-pub fn discard<C: Codec>(shared: &Shared<C>, job: &Job, dispatch: &mut Dispatch, count: u32) {
-    for _ in 0..count {
-        dispatch.record_discarded();
-        record(shared, job, "discarded");
-    }
-}
--- a/crates/cloverpost/src/gateway/overdue.rs
+++ b/crates/cloverpost/src/gateway/overdue.rs
@@ -20,6 +20,12 @@
         });
     }
 
+    /// What the attempt would end with; `None` if it is not overdue.
+    #[must_use]
+    pub fn get(&self) -> Option<Failure> {
+        *self.0.borrow()
+    }
+
     /// Completes while the attempt is overdue.
     pub async fn wait(&self) -> Failure {
         let mut watch = self.0.subscribe();
--- a/crates/cloverpost/src/gateway/stream/escalate.rs
+++ b/crates/cloverpost/src/gateway/stream/escalate.rs
@@ -70,9 +70,11 @@
                     id = job.head.id.as_str(), why:% = denial;
                     "the response of the smaller model is kept"
                 );
+                response.slot.unpark();
                 return (model, response);
             }
         };
+        response.slot.park();
         unary::record_sent_again(shared, job, dispatch, "larger_model");
         tried.push(upstream.id.clone());
         plan.has_unspent_retry = false;
--- a/crates/cloverpost/src/gateway/stream/relay.rs
+++ b/crates/cloverpost/src/gateway/stream/relay.rs
@@ -306,13 +306,8 @@
                 self.tried.push(upstream.id.clone());
                 hedge.begin();
                 let options = plan.options(&shared, &self.dispatch, hedge, &self.tried);
-                attempts.push(hedge::begin(
-                    &shared,
-                    &job,
-                    upstream,
-                    options,
-                    signals.add(),
-                ));
+                let overdue = signals.add(&upstream, shared.clock.now());
+                attempts.push(hedge::begin(&shared, &job, upstream, options, overdue));
             }
             let (slot, body) = match &mut self.running {
                 Some(run) => (Some(&run.slot), Some(&mut run.body)),
@@ -334,7 +329,8 @@
             let ended = tokio::select! {
                 frame = next_frame(body) => match self.take_frame(frame).await {
                     Ok(part) => {
-                        hedge::discard(&shared, &job, &mut self.dispatch, hedge.keep());
+                        hedge.keep();
+                        signals.discard(&shared, &job, &mut self.dispatch);
                         self.has_unspent_retry = plan.has_unspent_retry;
                         return Ok(part);
                     }
@@ -356,7 +352,8 @@
             signals.remove(&ended);
             let failure = match ended.result {
                 Ok(response) if !response.is_failure => {
-                    hedge::discard(&shared, &job, &mut self.dispatch, hedge.switch());
+                    hedge.switch();
+                    signals.discard(&shared, &job, &mut self.dispatch);
                     if self.running.is_some() {
                         self.dispatch.record_last_failure(silence);
                     }
