fix(cloverpost): leave for another attempt is asked for ten times a second

Each time it was denied, an overdue attempt asked again after 20 ms. With hundreds of streams on an upstream that fails and no other one to go to, each asks for all upstreams of its service; small VMs have an eighth of a core for that. By reading, not measured; ten times a second is soon enough beside a silence of 2.5 s.

--- a/crates/cloverpost/src/gateway/hedge.rs
+++ b/crates/cloverpost/src/gateway/hedge.rs
@@ -4,6 +4,7 @@
 //! is granted at one moment, and the overdue one is dropped only once the response of another has begun.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use cloverpost_core::dispatch::{Dispatch, Failure};
 use cloverpost_core::hedge::{Conditions, Denial, Hedge, Step};
@@ -19,6 +20,10 @@
 use crate::gateway::stream::Silence;
 use crate::gateway::{crashes, rollout_evidence, selection, shutdown, unary};
 
+/// Time after which leave for another attempt is asked for again. Many streams wait at once if an upstream
+/// fails that had many.
+const DENIAL_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Leave to send a job to one more upstream.
 pub struct Grant {
     /// The upstream.
@@ -120,7 +125,7 @@
                 }
             }
         }
-        tokio::time::sleep(attempt::MIN_POLL_INTERVAL).await;
+        tokio::time::sleep(DENIAL_INTERVAL).await;
     }
 }
 
