--- a/review/stand-ins-2/caller.rs
+++ b/review/stand-ins-2/caller.rs
@@ -50,8 +50,15 @@
     fn exchange(&self, address: SocketAddr) -> Option<Outcome> {
         let mut stream = TcpStream::connect_timeout(&address, CONNECT_TIME).ok()?;
         let _ = stream.set_nodelay(true);
-        let session = self.session.as_ref().map(|session| format!("Session: {session}\r\n"));
-        let length = if self.method == "GET" { "" } else { "Content-Length: 2\r\n" };
+        let session = self
+            .session
+            .as_ref()
+            .map(|session| format!("Session: {session}\r\n"));
+        let length = if self.method == "GET" {
+            ""
+        } else {
+            "Content-Length: 2\r\n"
+        };
         let body = if self.method == "GET" { "" } else { "{}" };
         let text = format!(
             "{} {} HTTP/1.1\r\nHost: {HOST}\r\nCloverpost-Attempt-Id: {}\r\nCloverpost-Deadline-Ms: {}\r\n{}{length}\r\n{body}",
@@ -62,14 +69,19 @@
             session.unwrap_or_default(),
         );
         stream.write_all(text.as_bytes()).ok()?;
-        let wait = self.leaves_after.unwrap_or(self.deadline + Duration::from_secs(1));
+        let wait = self
+            .leaves_after
+            .unwrap_or(self.deadline + Duration::from_secs(1));
         stream.set_read_timeout(Some(wait)).ok()?;
         let mut reader = BufReader::new(stream);
         if self.leaves_after.is_some() && reader.fill_buf().is_err() {
             return Some(Outcome::Left);
         }
         let head = http::read_head(&mut reader).ok()??;
-        let stamp = head.field("cloverpost-server-stamp").unwrap_or_default().to_owned();
+        let stamp = head
+            .field("cloverpost-server-stamp")
+            .unwrap_or_default()
+            .to_owned();
         let body = http::read_body(&mut reader, &head, false);
         let Ok(body) = body else {
             return Some(Outcome::Cut(head.status()));
--- a/review/stand-ins-2/gone.rs
+++ b/review/stand-ins-2/gone.rs
@@ -17,7 +17,9 @@
 const MAX_CONNECTIONS: u32 = 8;
 /// Clients that come at once.
 const CLIENTS: usize = 80;
-/// When the clients leave.
+/// Clients of ten that leave.
+const LEAVING_OF_TEN: usize = 3;
+/// When they leave.
 const LEAVES_AFTER: Duration = Duration::from_millis(150);
 /// Time that clients and the route allow.
 const TIMEOUT: Duration = Duration::from_secs(4);
@@ -56,7 +58,8 @@
                     id: format!("booking{client:03}"),
                     deadline: TIMEOUT,
                     session: None,
-                    leaves_after: has_trouble.then_some(LEAVES_AFTER),
+                    leaves_after: (has_trouble && client % 10 < LEAVING_OF_TEN)
+                        .then_some(LEAVES_AFTER),
                 };
                 record.line(format!("request {} is sent to edge-1", request.id));
                 let outcome = request.send(address);
@@ -66,12 +69,17 @@
             })
         })
         .collect();
-    let ends: Vec<_> = clients.into_iter().filter_map(|client| client.join().ok()).collect();
+    let ends: Vec<_> = clients
+        .into_iter()
+        .filter_map(|client| client.join().ok())
+        .collect();
     thread::sleep(TIMEOUT);
     let events = site.record.events();
     let mut late = 0;
     for (time, event) in events.iter().filter(|(_, event)| event.what == "arrives") {
-        let end = ends.iter().find(|(id, has_left, _)| *id == event.request && *has_left);
+        let end = ends
+            .iter()
+            .find(|(id, has_left, _)| *id == event.request && *has_left);
         let Some((id, _, closed)) = end.filter(|(_, _, closed)| *time > *closed + LATE) else {
             continue;
         };
@@ -82,7 +90,12 @@
             event.replica
         ));
     }
-    site.record.line(format!("requests that reached a replica too late: {late}"));
+    site.record
+        .line(format!("requests that reached a replica too late: {late}"));
     site.record.write(folder);
-    Some(if late > FEW { Verdict::Broken } else { Verdict::Held })
+    Some(if late > FEW {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 messages over blocking sockets.
 
-use std::io::{self, BufRead, Read};
+use std::io::{self, BufRead};
 
 /// The first line and the fields of a message.
 #[derive(Clone, Debug, Default)]
@@ -61,7 +61,9 @@
     may_end_with_connection: bool,
 ) -> io::Result<Vec<u8>> {
     let mut body = Vec::new();
-    let is_chunked = head.field("transfer-encoding").is_some_and(|value| value.contains("chunked"));
+    let is_chunked = head
+        .field("transfer-encoding")
+        .is_some_and(|value| value.contains("chunked"));
     if is_chunked {
         loop {
             let mut line = String::new();
--- a/review/stand-ins-2/length.rs
+++ b/review/stand-ins-2/length.rs
@@ -1,129 +1,81 @@
-//! All replicas crash while answers without a length are under way.
+//! Replicas crash while a few of their answers, which have no length, are under way.
 
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::Duration;
 
 use crate::Verdict;
 use crate::caller::{Outcome, Request};
-use crate::replica::{self, Answer, END_MARK, Event, Options, Sink};
-use crate::site::{IP, Route, Site};
+use crate::process::Process;
+use crate::replica::{Answer, END_MARK, Options};
+use crate::site::{Route, Site};
 
-/// Parts of an answer without a length, and the time between two of them.
-const PARTS: (u32, Duration) = (10, Duration::from_millis(80));
+/// One answer of this number has no length.
+const ONE_OF: u64 = 20;
+/// Parts of such an answer, and the time between two of them.
+const PARTS: (u32, Duration) = (8, Duration::from_millis(100));
 /// Clients, each with one request after the other.
-const CLIENTS: usize = 16;
-/// How long clients send before the replicas crash.
-const BEFORE: Duration = Duration::from_secs(4);
-/// How long the replicas are down.
-const AFTER: Duration = Duration::from_secs(2);
+const CLIENTS: usize = 400;
+/// Number of crashes, of one replica at a time.
+const CRASHES: usize = 12;
+/// Time between two crashes.
+const PAUSE: Duration = Duration::from_secs(4);
+/// How long a replica is down.
+const DOWN: Duration = Duration::from_secs(2);
 
-/// A replica in a process of its own.
-struct Process {
-    id: &'static str,
-    child: Child,
-}
-
-impl Process {
-    fn start(site: &Site, id: &'static str, service: &str, answer: &str) -> Option<Self> {
-        let mut child = Command::new(std::env::current_exe().ok()?)
-            .args(["replica", id, service, answer])
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .spawn()
-            .ok()?;
-        let mut lines = BufReader::new(child.stdout.take()?).lines();
-        let address: SocketAddr = lines.next()?.ok()?.parse().ok()?;
-        let record = site.record.clone();
-        thread::spawn(move || {
-            for line in lines.map_while(Result::ok) {
-                record.line(format!("{line} at replica {id}"));
-            }
-        });
-        replica::register(&site.store, &options(id, service, answer), address, false, 1);
-        site.record.line(format!("replica {id} of {service} listens at {address}"));
-        Some(Self { id, child })
-    }
-
-    fn kill(&mut self, site: &Site) {
-        let _ = self.child.kill();
-        site.record.line(format!("replica {} crashes", self.id));
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-fn options(id: &str, service: &str, answer: &str) -> Options {
+fn options(id: &str, service: &str, answer: Answer) -> Options {
     Options {
         id: id.to_owned(),
         service: service.to_owned(),
         version: "v1".to_owned(),
         zone: "zone-a".to_owned(),
-        slots: 48,
-        answer: match answer {
-            "parts" => Answer::WithoutLength(PARTS.0, PARTS.1),
-            _ => Answer::Events(10, Duration::from_millis(50)),
-        },
-    }
-}
-
-/// Serves as a replica until the process is killed.
-pub fn run_replica(words: &[&str]) {
-    let [id, service, answer] = words else {
-        return;
-    };
-    let Ok(listener) = TcpListener::bind((IP, 0)) else {
-        return;
-    };
-    if let Ok(address) = listener.local_addr() {
-        println!("{address}");
+        slots: 200,
+        answer,
     }
-    let sink: Sink = Arc::new(|event: Event| println!("request {} {}", event.request, event.what));
-    replica::serve(&listener, &Arc::new(options(id, service, answer)), &sink);
 }
 
 /// Runs the case.
 pub fn run(folder: &Path, has_trouble: bool) -> Option<Verdict> {
-    let route = |name, prefix, kind, service| Route {
+    let route = |name, prefix, service| Route {
         name,
         prefix,
-        kind,
+        kind: "safe",
         timeout: Duration::from_secs(5),
         service,
         max_attempts: 2,
     };
     let routes = [
-        route("lookup", "/lookup/", "safe", "yardbook"),
-        route("sheet", "/sheet/", "streaming", "drafter"),
+        route("lookup", "/lookup/", "yardbook"),
+        route("check", "/check/", "drafter"),
     ];
-    let mut site = Site::start(&routes, 110)?;
-    let mut replicas = vec![
-        Process::start(&site, "i-desk-1", "yardbook", "parts")?,
-        Process::start(&site, "i-desk-2", "yardbook", "parts")?,
-        Process::start(&site, "i-draft-1", "drafter", "events")?,
-        Process::start(&site, "i-draft-2", "drafter", "events")?,
+    let mut site = Site::start(&routes, 1000)?;
+    let some = Answer::SomeWithoutLength(ONE_OF, PARTS.0, PARTS.1);
+    let others = Answer::After(PARTS.1 * PARTS.0);
+    let start = |id: &str, service, answer| Process::start(&site, options(id, service, answer));
+    let mut crashing = [
+        Some(start("i-desk-1", "yardbook", some)?),
+        Some(start("i-desk-2", "yardbook", some)?),
+    ];
+    let _sound = [
+        start("i-desk-3", "yardbook", others)?,
+        start("i-desk-4", "yardbook", others)?,
+        start("i-draft-1", "drafter", others)?,
     ];
     site.vm("edge-1")?;
     site.vm("edge-2")?;
     site.settle()?;
     let is_over = Arc::new(AtomicBool::new(false));
-    let torn = Arc::new(Mutex::new(0_usize));
-    let mut clients = Vec::new();
+    let torn = Arc::new(AtomicUsize::new(0));
+    let (done, all_done) = mpsc::channel::<()>();
     for client in 0..CLIENTS {
         let address = site.vms.get(client % 2)?.callers;
         let (record, is_over, torn) = (site.record.clone(), is_over.clone(), torn.clone());
-        clients.push(thread::spawn(move || {
-            thread::sleep(Duration::from_millis(50) * u32::try_from(client).unwrap_or_default());
+        let done = done.clone();
+        thread::spawn(move || {
+            let _done = done;
+            thread::sleep(Duration::from_millis(2) * u32::try_from(client).unwrap_or_default());
             for number in 0.. {
                 if is_over.load(Ordering::Relaxed) {
                     return;
@@ -147,25 +99,36 @@
                         "BROKEN: the answer to {} looks complete and is not",
                         request.id
                     ));
-                    *torn.lock().unwrap_or_else(PoisonError::into_inner) += 1;
+                    torn.fetch_add(1, Ordering::Relaxed);
                 }
-                thread::sleep(Duration::from_millis(100));
+                thread::sleep(Duration::from_millis(50));
             }
-        }));
+        });
     }
-    thread::sleep(BEFORE);
-    if has_trouble {
-        for replica in &mut replicas {
-            replica.kill(&site);
+    drop(done);
+    for number in 0..CRASHES {
+        thread::sleep(PAUSE.saturating_sub(DOWN));
+        let place = crashing.get_mut(number % 2)?;
+        if has_trouble && let Some(replica) = place.take() {
+            replica.end("crashes");
+        }
+        thread::sleep(DOWN);
+        if has_trouble {
+            // Each start of a replica is a new incarnation.
+            let id = format!("i-desk-{}-{number}", number % 2 + 1);
+            *place = Some(Process::start(&site, options(&id, "yardbook", some))?);
         }
     }
-    thread::sleep(AFTER);
     is_over.store(true, Ordering::Relaxed);
-    for client in clients {
-        let _ = client.join();
-    }
-    let torn = *torn.lock().unwrap_or_else(PoisonError::into_inner);
-    site.record.line(format!("answers that look complete and are not: {torn}"));
+    // Fails once all clients have ended.
+    let _ = all_done.recv_timeout(Duration::from_secs(10));
+    let torn = torn.load(Ordering::Relaxed);
+    let line = format!("answers that look complete and are not: {torn}");
+    site.record.line(line);
     site.record.write(folder);
-    Some(if torn > 0 { Verdict::Broken } else { Verdict::Held })
+    Some(if torn > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -11,6 +11,7 @@
 mod json;
 mod length;
 mod pinned;
+mod process;
 mod replica;
 mod site;
 mod store;
@@ -34,7 +35,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let run = match words[..] {
         ["replica", ref options @ ..] => {
-            length::run_replica(options);
+            process::serve(options);
             return ExitCode::SUCCESS;
         }
         [name, folder] => {
--- a/review/stand-ins-2/pinned.rs
+++ b/review/stand-ins-2/pinned.rs
@@ -95,13 +95,15 @@
                 let ran = events.iter().rev();
                 let mut ran = ran.filter(|(_, event)| event.request == request.id);
                 if let Some((_, event)) = ran.find(|(_, event)| event.what == "runs") {
-                    runs.lock().unwrap_or_else(PoisonError::into_inner).push(Run {
-                        session,
-                        vm,
-                        sent,
-                        ended: record.now(),
-                        version: event.version.clone(),
-                    });
+                    runs.lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push(Run {
+                            session,
+                            vm,
+                            sent,
+                            ended: record.now(),
+                            version: event.version.clone(),
+                        });
                 }
                 thread::sleep(PAUSE);
             }
@@ -114,7 +116,8 @@
     );
     site.store.put("op", "rollout/drafter", &order);
     let ordered = site.record.now();
-    site.record.line("the operator ordered v2 of drafter".to_owned());
+    site.record
+        .line("the operator ordered v2 of drafter".to_owned());
     for number in 1..=4 {
         site.replica(options(format!("i-new-{number}"), "v2"))?;
     }
@@ -124,8 +127,11 @@
         in_touch = site.record.now() + CONTACT;
         site.vm("edge-3")?;
         let address = site.vms.last()?.callers;
-        open.lock().unwrap_or_else(PoisonError::into_inner).push(address);
-        site.record.line("edge-3 is ready and gets connections".to_owned());
+        open.lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(address);
+        site.record
+            .line("edge-3 is ready and gets connections".to_owned());
     }
     let half = ordered + DURATION / 2;
     thread::sleep(half.saturating_sub(site.record.now()));
@@ -155,9 +161,18 @@
             ));
         }
     }
-    let state = site.store.value("status", "rollout/drafter").unwrap_or_default();
+    let state = site
+        .store
+        .value("status", "rollout/drafter")
+        .unwrap_or_default();
     site.record.line(format!("state of the rollout: {state}"));
-    site.record.line(format!("requests of sessions that moved to the new version: {moved}"));
+    site.record.line(format!(
+        "requests of sessions that moved to the new version: {moved}"
+    ));
     site.record.write(folder);
-    Some(if moved > ALLOWED { Verdict::Broken } else { Verdict::Held })
+    Some(if moved > ALLOWED {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
 }
--- a/review/stand-ins-2/replica.rs
+++ b/review/stand-ins-2/replica.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
@@ -41,9 +41,9 @@
     After(Duration),
     /// With a stream of events, with the time between two of them.
     Events(u32, Duration),
-    /// With a body that has no length and ends with its connection, in the given number of parts, with
-    /// the time between two of them.
-    WithoutLength(u32, Duration),
+    /// In the given number of parts with the time between two of them. One answer of the first number has
+    /// no length and ends with its connection, the others are like those of `After`.
+    SomeWithoutLength(u64, u32, Duration),
 }
 
 /// An arrival of a request, or the begin or end of its run.
@@ -72,8 +72,6 @@
     /// Where it listens.
     pub address: SocketAddr,
     store: Store,
-    is_leaving: Arc<AtomicBool>,
-    is_gone: Arc<AtomicBool>,
     writes: Arc<AtomicU64>,
 }
 
@@ -85,8 +83,6 @@
             address: listener.local_addr()?,
             options: Arc::new(options),
             store: store.clone(),
-            is_leaving: Arc::default(),
-            is_gone: Arc::default(),
             writes: Arc::default(),
         };
         let served = replica.options.clone();
@@ -94,7 +90,7 @@
         replica.register();
         let registered = replica.clone();
         thread::spawn(move || {
-            while !registered.is_gone.load(Ordering::Relaxed) {
+            loop {
                 thread::sleep(HEARTBEAT);
                 registered.register();
             }
@@ -102,24 +98,9 @@
         Ok(replica)
     }
 
-    /// Reports that the replica leaves; it goes on serving.
-    pub fn drain(&self) {
-        self.is_leaving.store(true, Ordering::Relaxed);
-        self.register();
-    }
-
-    /// Removes the entry of the replica.
-    pub fn deregister(&self) {
-        self.is_gone.store(true, Ordering::Relaxed);
-        self.store.remove("servers", &self.options.id);
-    }
-
     fn register(&self) {
-        if !self.is_gone.load(Ordering::Relaxed) {
-            let is_leaving = self.is_leaving.load(Ordering::Relaxed);
-            let number = self.writes.fetch_add(1, Ordering::Relaxed);
-            register(&self.store, &self.options, self.address, is_leaving, number);
-        }
+        let number = self.writes.fetch_add(1, Ordering::Relaxed);
+        register(&self.store, &self.options, self.address, false, number);
     }
 }
 
@@ -143,13 +124,18 @@
 struct Slots {
     free: Mutex<usize>,
     changed: Condvar,
+    /// Number of requests that have run.
+    runs: AtomicU64,
 }
 
 impl Slots {
     fn take(&self) {
         let mut free = self.free.lock().unwrap_or_else(PoisonError::into_inner);
         while *free == 0 {
-            free = self.changed.wait(free).unwrap_or_else(PoisonError::into_inner);
+            free = self
+                .changed
+                .wait(free)
+                .unwrap_or_else(PoisonError::into_inner);
         }
         *free -= 1;
     }
@@ -165,6 +151,7 @@
     let slots = Arc::new(Slots {
         free: Mutex::new(options.slots),
         changed: Condvar::new(),
+        runs: AtomicU64::new(0),
     });
     for stream in listener.incoming().flatten() {
         let (options, sink, slots) = (options.clone(), sink.clone(), slots.clone());
@@ -213,11 +200,13 @@
         tell("arrives");
         slots.take();
         tell("runs");
-        let answered = answer(&mut writer, &head, options);
+        let number = slots.runs.fetch_add(1, Ordering::Relaxed);
+        let answer = options.answer.of_run(number);
+        let answered = send_answer(&mut writer, &head, options, answer);
         slots.give();
         tell("ends");
         answered.ok()?;
-        if matches!(options.answer, Answer::WithoutLength(..)) {
+        if matches!(answer, Answer::SomeWithoutLength(..)) {
             let _ = stream.shutdown(Shutdown::Both);
             return None;
         }
@@ -225,14 +214,31 @@
     Some(())
 }
 
+impl Answer {
+    /// How the run `number` is answered.
+    fn of_run(self, number: u64) -> Self {
+        match self {
+            Self::SomeWithoutLength(one_of, parts, gap) if number % one_of != 0 => {
+                Self::After(gap * parts)
+            }
+            other => other,
+        }
+    }
+}
+
 /// Runs the request of `head`, and stops if its connection has been closed.
-fn answer(writer: &mut TcpStream, head: &Head, options: &Options) -> io::Result<()> {
+fn send_answer(
+    writer: &mut TcpStream,
+    head: &Head,
+    options: &Options,
+    answer: Answer,
+) -> io::Result<()> {
     let id = head.field("cloverpost-attempt-id").unwrap_or_default();
     let fields = format!(
         "HTTP/1.1 200 OK\r\nCloverpost-Attempt-Id: {id}\r\nCloverpost-Server-Stamp: {}.{id}\r\n",
         options.id
     );
-    match options.answer {
+    match answer {
         Answer::After(time) => {
             thread::sleep(time);
             let body = format!("{}{END_MARK}", "x".repeat(BODY_BYTES - END_MARK.len()));
@@ -240,7 +246,9 @@
             writer.write_all(text.as_bytes())
         }
         Answer::Events(count, gap) => {
-            let from = head.field("last-event-id").and_then(|text| text.parse().ok());
+            let from = head
+                .field("last-event-id")
+                .and_then(|text| text.parse().ok());
             let from = from.unwrap_or(0);
             let text = format!(
                 "{fields}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -255,7 +263,7 @@
             }
             writer.write_all(b"0\r\n\r\n")
         }
-        Answer::WithoutLength(parts, gap) => {
+        Answer::SomeWithoutLength(_, parts, gap) => {
             writer.write_all(format!("{fields}Connection: close\r\n\r\n").as_bytes())?;
             for number in 1..=parts {
                 thread::sleep(gap);
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -58,7 +58,10 @@
             Outcome::Answered(status, stamp, body) => {
                 let end = body.len().saturating_sub(24);
                 let end = body.get(end..).unwrap_or_default().replace('\n', " ");
-                format!("{status}, stamp '{stamp}', {} bytes, the last: '{end}'", body.len())
+                format!(
+                    "{status}, stamp '{stamp}', {} bytes, the last: '{end}'",
+                    body.len()
+                )
             }
             Outcome::Cut(status) => format!("{status}, which breaks off"),
             Outcome::None => "no answer".to_owned(),
@@ -105,7 +108,7 @@
     pub name: &'static str,
     /// Prefix of its paths.
     pub prefix: &'static str,
-    /// `safe`, `unsafe` or `streaming`.
+    /// `safe`, `unsafe`, `streaming`, or `once`: streaming and not to be resumed.
     pub kind: &'static str,
     /// Longest time for an answer.
     pub timeout: Duration,
@@ -125,13 +128,14 @@
         let rendered = routes.iter().map(|route| {
             let extra = match route.kind {
                 "streaming" => ",\"resumable\":true,\"target_gap_ms\":1000",
+                "once" => ",\"target_gap_ms\":1000",
                 _ => "",
             };
             format!(
                 "{{\"name\":\"{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{}\",\"route_type\":\"{}\",\"timeout_ms\":{},\"target_latency_ms\":1500,\"priority\":1,\"service\":\"{}\",\"max_attempts\":{},\"public\":true{extra}}}",
                 route.name,
                 route.prefix,
-                route.kind,
+                if route.kind == "once" { "streaming" } else { route.kind },
                 route.timeout.as_millis(),
                 route.service,
                 route.max_attempts,
@@ -167,7 +171,8 @@
         let sink: Sink = Arc::new(move |event| record.event(event));
         let replica = Replica::start(IP, &self.store, options, sink).ok()?;
         let id = &replica.options.id;
-        self.record.line(format!("replica {id} listens at {}", replica.address));
+        self.record
+            .line(format!("replica {id} listens at {}", replica.address));
         Some(replica)
     }
 
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -97,7 +97,10 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.inner.state.lock().unwrap_or_else(PoisonError::into_inner)
+        self.inner
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
@@ -173,13 +176,25 @@
     fn apply(&self, body: &Value) -> (u16, String) {
         let entries = |name: &str| body.get(name).map(Value::list).unwrap_or_default().to_vec();
         let name = |entry: &Value| {
-            let text = |field: &str| entry.get(field).map(Value::text).unwrap_or_default().to_owned();
+            let text = |field: &str| {
+                entry
+                    .get(field)
+                    .map(Value::text)
+                    .unwrap_or_default()
+                    .to_owned()
+            };
             (text("table"), text("key"))
         };
         let mut state = self.state();
         let is_met = |entry: &Value| {
-            let expected = entry.get("row_version").map(Value::number).unwrap_or_default();
-            let current = state.rows.get(&name(entry)).map_or(0, |(_, version)| *version);
+            let expected = entry
+                .get("row_version")
+                .map(Value::number)
+                .unwrap_or_default();
+            let current = state
+                .rows
+                .get(&name(entry))
+                .map_or(0, |(_, version)| *version);
             expected == current
         };
         let expected = entries("expected");
@@ -194,7 +209,11 @@
         state.counter += 1;
         let version = state.counter;
         for entry in entries("write") {
-            let value = entry.get("value").map(Value::text).unwrap_or_default().to_owned();
+            let value = entry
+                .get("value")
+                .map(Value::text)
+                .unwrap_or_default()
+                .to_owned();
             state.removed.remove(&name(&entry));
             state.rows.insert(name(&entry), (value, version));
         }
@@ -227,7 +246,9 @@
     let mut rest = text.as_bytes();
     while let Some((byte, after)) = rest.split_first() {
         rest = after;
-        let code = after.get(..2).and_then(|digits| std::str::from_utf8(digits).ok());
+        let code = after
+            .get(..2)
+            .and_then(|digits| std::str::from_utf8(digits).ok());
         let code = code.and_then(|digits| u8::from_str_radix(digits, 16).ok());
         match (byte, code) {
             (b'%', Some(code)) => {
@@ -245,7 +266,9 @@
 fn encode(bytes: &[u8]) -> String {
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let bits = group.iter().fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
+        let bits = group
+            .iter()
+            .fold(0_u32, |bits, byte| bits << 8 | u32::from(*byte));
         let bits = bits << (8 * (3 - group.len()));
         for place in 0..4 {
             if place <= group.len() {
--- a/review/stand-ins-2/vm.rs
+++ b/review/stand-ins-2/vm.rs
@@ -15,8 +15,6 @@
 
 /// A process of the router.
 pub struct Vm {
-    /// Name of the VM.
-    pub name: String,
     /// Address for clients.
     pub callers: SocketAddr,
     /// Address of the readiness check.
@@ -47,7 +45,6 @@
             .stderr(log)
             .spawn()?;
         Ok(Self {
-            name: name.to_owned(),
             callers,
             readiness,
             child,
