--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -12,7 +12,9 @@
 mod length;
 mod pinned;
 mod process;
+mod relay;
 mod replica;
+mod silent;
 mod site;
 mod store;
 mod vm;
@@ -45,6 +47,7 @@
                 "gone" => gone::run(&folder, has_trouble),
                 "length" => length::run(&folder, has_trouble),
                 "pinned" => pinned::run(&folder, has_trouble),
+                "silent" => silent::run(&folder, has_trouble),
                 _ => None,
             }
         }
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment and the record of what happens there.
 
 use std::fs;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -97,6 +98,8 @@
     pub record: Record,
     /// The store.
     pub store: Store,
+    /// Where VMs reach the store.
+    pub store_address: SocketAddr,
     /// The VMs.
     pub vms: Vec<Vm>,
     files: PathBuf,
@@ -125,40 +128,11 @@
         let files = std::env::temp_dir().join(format!("cloverpost-case-{}", std::process::id()));
         fs::create_dir_all(&files).ok()?;
         let store = Store::start(IP).ok()?;
-        let rendered = routes.iter().map(|route| {
-            let extra = match route.kind {
-                "streaming" => ",\"resumable\":true,\"target_gap_ms\":1000",
-                "once" => ",\"target_gap_ms\":1000",
-                _ => "",
-            };
-            format!(
-                "{{\"name\":\"{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{}\",\"route_type\":\"{}\",\"timeout_ms\":{},\"target_latency_ms\":1500,\"priority\":1,\"service\":\"{}\",\"max_attempts\":{},\"public\":true{extra}}}",
-                route.name,
-                route.prefix,
-                if route.kind == "once" { "streaming" } else { route.kind },
-                route.timeout.as_millis(),
-                route.service,
-                route.max_attempts,
-            )
-        });
-        let rendered: Vec<_> = rendered.collect();
-        let mut services: Vec<_> = routes.iter().map(|route| route.service).collect();
-        services.sort_unstable();
-        services.dedup();
-        let services = services.iter().map(|name| {
-            format!(
-                "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":{max_connections},\"protocol\":\"h1\",\"tls\":false}}"
-            )
-        });
-        let services: Vec<_> = services.collect();
-        let configuration = format!(
-            "{{\"version\":1,\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[]}}",
-            rendered.join(","),
-            services.join(","),
-        );
+        let configuration = configuration(1, routes, max_connections);
         store.put("op", "config", &configuration);
         Some(Self {
             record: Record::new(),
+            store_address: store.address,
             store,
             vms: Vec::new(),
             files,
@@ -184,7 +158,7 @@
 
     /// Starts a VM.
     pub fn begin_vm(&mut self, name: &str) -> Option<()> {
-        let vm = Vm::start(&self.files, name, "zone-a", self.store.address).ok()?;
+        let vm = Vm::start(&self.files, name, "zone-a", self.store_address).ok()?;
         self.record.line(format!("VM {name} started"));
         self.vms.push(vm);
         Some(())
@@ -204,6 +178,41 @@
     }
 }
 
+/// The configuration `number` with `routes`, whose services accept `max_connections` at each replica.
+pub fn configuration(number: u64, routes: &[Route], max_connections: u32) -> String {
+    let rendered = routes.iter().map(|route| {
+            let extra = match route.kind {
+                "streaming" => ",\"resumable\":true,\"target_gap_ms\":1000",
+                "once" => ",\"target_gap_ms\":1000",
+                _ => "",
+            };
+            format!(
+                "{{\"name\":\"{}\",\"host\":\"{HOST}\",\"path_prefix\":\"{}\",\"route_type\":\"{}\",\"timeout_ms\":{},\"target_latency_ms\":1500,\"priority\":1,\"service\":\"{}\",\"max_attempts\":{},\"public\":true{extra}}}",
+                route.name,
+                route.prefix,
+                if route.kind == "once" { "streaming" } else { route.kind },
+                route.timeout.as_millis(),
+                route.service,
+                route.max_attempts,
+            )
+        });
+    let rendered: Vec<_> = rendered.collect();
+    let mut services: Vec<_> = routes.iter().map(|route| route.service).collect();
+    services.sort_unstable();
+    services.dedup();
+    let services = services.iter().map(|name| {
+            format!(
+                "{{\"name\":\"{name}\",\"health_path\":\"/healthz\",\"max_conns\":{max_connections},\"protocol\":\"h1\",\"tls\":false}}"
+            )
+        });
+    let services: Vec<_> = services.collect();
+    format!(
+        "{{\"version\":{number},\"routes\":[{}],\"services\":[{}],\"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\"tenants\":[]}}",
+        rendered.join(","),
+        services.join(","),
+    )
+}
+
 impl Drop for Site {
     fn drop(&mut self) {
         self.vms.clear();
