--- a/review/stand-ins-2/process.rs
+++ b/review/stand-ins-2/process.rs
@@ -77,6 +77,16 @@
         self.register(true);
     }
 
+    /// Ends the processes of `replicas` at one moment; their entries expire later.
+    pub fn end_all(mut replicas: Vec<Self>, how: &str) {
+        for replica in &mut replicas {
+            let _ = replica.child.kill();
+        }
+        for replica in replicas {
+            replica.end(how);
+        }
+    }
+
     /// Ends the process; its entry expires later.
     pub fn end(mut self, how: &str) {
         let _ = self.child.kill();
