--- a/review/stand-ins-2/drain.rs
+++ b/review/stand-ins-2/drain.rs
@@ -13,7 +13,7 @@
 use crate::site::{Route, Site};
 
 /// Bound on requests to a replica that leaves, from the settings.
-const DRAIN: Duration = Duration::from_millis(2000);
+const DRAIN: Duration = Duration::from_secs(2);
 /// Connections that a replica accepts.
 const MAX_CONNECTIONS: u32 = 16;
 /// Clients, each with one stream after the other.
@@ -107,7 +107,7 @@
     let late: Vec<_> = late.collect();
     let cut = cut.lock().unwrap_or_else(PoisonError::into_inner).clone();
     for (time, event) in &late {
-        let after = (*time - acknowledged).as_millis();
+        let after = time.saturating_sub(acknowledged).as_millis();
         let lost = if cut.contains(&event.request) {
             ", and its answer broke off as the replica exited"
         } else {
--- a/review/stand-ins-2/http.rs
+++ b/review/stand-ins-2/http.rs
@@ -36,14 +36,15 @@
     loop {
         let mut line = String::new();
         if stream.read_line(&mut line)? == 0 {
-            return match head.line.is_empty() {
-                true => Ok(None),
-                false => Err(io::ErrorKind::UnexpectedEof.into()),
+            return if head.line.is_empty() {
+                Ok(None)
+            } else {
+                Err(io::ErrorKind::UnexpectedEof.into())
             };
         }
         let line = line.trim_end();
         if head.line.is_empty() {
-            head.line = line.to_owned();
+            line.clone_into(&mut head.line);
         } else if line.is_empty() {
             return Ok(Some(head));
         } else if let Some((name, value)) = line.split_once(':') {
--- a/review/stand-ins-2/main.rs
+++ b/review/stand-ins-2/main.rs
@@ -4,9 +4,10 @@
 //! `record.txt` to FOLDER and exits with 1 if the rule was broken, 0 if it held and 2 if the case could
 //! not run. With `TROUBLE=0` the disruption is left out.
 
+mod between;
 mod caller;
 mod drain;
-mod gone;
+mod fetch;
 mod http;
 mod json;
 mod length;
@@ -44,7 +45,7 @@
             let folder = PathBuf::from(folder);
             match name {
                 "drain" => drain::run(&folder, has_trouble),
-                "gone" => gone::run(&folder, has_trouble),
+                "fetch" => fetch::run(&folder, has_trouble),
                 "length" => length::run(&folder, has_trouble),
                 "pinned" => pinned::run(&folder, has_trouble),
                 "silent" => silent::run(&folder, has_trouble),
--- a/review/stand-ins-2/replica.rs
+++ b/review/stand-ins-2/replica.rs
@@ -218,7 +218,7 @@
     /// How the run `number` is answered.
     fn of_run(self, number: u64) -> Self {
         match self {
-            Self::SomeWithoutLength(one_of, parts, gap) if number % one_of != 0 => {
+            Self::SomeWithoutLength(one_of, parts, gap) if !number.is_multiple_of(one_of) => {
                 Self::After(gap * parts)
             }
             other => other,
--- a/review/stand-ins-2/silent.rs
+++ b/review/stand-ins-2/silent.rs
@@ -1,21 +1,18 @@
 //! Open connections to the store go silent between two changes of the configuration.
 
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
 use crate::Verdict;
-use crate::caller::Request;
 use crate::relay::Relay;
 use crate::replica::{Answer, Options};
-use crate::site::{self, IP, Route, Site};
+use crate::site::{self, IP, Polling, Route, Site};
 
 /// Time in which a configuration is to be in force, from the settings.
-const APPLY: Duration = Duration::from_millis(2000);
+const APPLY: Duration = Duration::from_secs(2);
 /// Time after a disruption from which machines are in touch again.
-const CONTACT: Duration = Duration::from_millis(3000);
+const CONTACT: Duration = Duration::from_secs(3);
 /// Time from the first change to the silence.
 const SILENT_AFTER: Duration = Duration::from_millis(400);
 /// Time from the silence to the second change.
@@ -62,35 +59,10 @@
         site.vm(name)?;
     }
     site.settle()?;
-    let is_over = Arc::new(AtomicBool::new(false));
-    let sent = Arc::new(Mutex::new(Vec::new()));
+    let clients = Polling::new(&site.record);
     for client in 0..CLIENTS.0 * site.vms.len() {
         let address = site.vms.get(client % site.vms.len())?.callers;
-        let (record, is_over, sent) = (site.record.clone(), is_over.clone(), sent.clone());
-        thread::spawn(move || {
-            for number in 0.. {
-                if is_over.load(Ordering::Relaxed) {
-                    return;
-                }
-                let request = Request {
-                    method: "GET",
-                    path: "/lookup/one",
-                    id: format!("c{client:03}{number:05}"),
-                    deadline: Duration::from_millis(1500),
-                    session: None,
-                    leaves_after: None,
-                };
-                let now = record.now();
-                let entry = (now, request.id.clone());
-                sent.lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .push(entry);
-                record.line(format!("request {} is sent", request.id));
-                let outcome = request.send(address);
-                record.outcome(&request, &outcome);
-                thread::sleep(CLIENTS.1);
-            }
-        });
+        clients.start(client, address, "/lookup/one", CLIENTS.1);
     }
     thread::sleep(Duration::from_secs(4));
     let put = |number, routes: &[Route]| {
@@ -111,31 +83,16 @@
     put(3, &[route("desk-new", 900), other()]);
     let acknowledged = site.record.now();
     thread::sleep(AFTER);
-    is_over.store(true, Ordering::Relaxed);
-    thread::sleep(Duration::from_secs(1));
+    let sent = clients.end();
     let in_touch = if has_trouble {
         silent + CONTACT
     } else {
         Duration::ZERO
     };
     let from = in_touch.max(acknowledged + APPLY);
-    let sent = sent.lock().unwrap_or_else(PoisonError::into_inner).clone();
-    let events = site.record.events();
-    let mut late = 0;
-    for (time, id) in sent.iter().filter(|(time, _)| *time > from) {
-        let runs = events
-            .iter()
-            .filter(|(_, event)| event.request == *id && event.what == "runs");
-        for (_, event) in runs.filter(|(_, event)| event.replica.starts_with("i-old")) {
-            late += 1;
-            let after = (*time - acknowledged).as_millis();
-            let line = format!(
-                "BROKEN: request {id}, sent {after} ms after configuration 3 was acknowledged, was run by {}",
-                event.replica
-            );
-            site.record.line(line);
-        }
-    }
+    let late = site
+        .record
+        .count_old_runs(&sent, from, acknowledged, "i-old");
     let line = format!("requests that were run by the old service: {late}");
     site.record.line(line);
     site.record.write(folder);
--- a/review/stand-ins-2/site.rs
+++ b/review/stand-ins-2/site.rs
@@ -3,10 +3,12 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::between::Group;
 use crate::caller::{HOST, Outcome, Request};
 use crate::replica::{Event, Options, Replica, Sink};
 use crate::store::Store;
@@ -76,6 +78,33 @@
         lock(&self.events).clone()
     }
 
+    /// Counts the runs at replicas `prefix*` of the requests in `sent`, by time and id, that were sent
+    /// later than `from`, and adds a line for each. The change that rules them out was `acknowledged`.
+    pub fn count_old_runs(
+        &self,
+        sent: &[(Duration, String)],
+        from: Duration,
+        acknowledged: Duration,
+        prefix: &str,
+    ) -> usize {
+        let events = self.events();
+        let mut count = 0;
+        for (time, id) in sent.iter().filter(|(time, _)| *time > from) {
+            let runs = events
+                .iter()
+                .filter(|(_, event)| event.request == *id && event.what == "runs");
+            for (_, event) in runs.filter(|(_, event)| event.replica.starts_with(prefix)) {
+                count += 1;
+                let after = time.saturating_sub(acknowledged).as_millis();
+                self.line(format!(
+                    "BROKEN: request {id}, sent {after} ms after the change was acknowledged, was run by {}",
+                    event.replica
+                ));
+            }
+        }
+        count
+    }
+
     /// Writes `record.txt` to `folder`.
     pub fn write(&self, folder: &Path) {
         let mut lines = lock(&self.lines).clone();
@@ -92,6 +121,63 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Clients that send one request after the other until the end of the case.
+pub struct Polling {
+    record: Record,
+    sent: Arc<Mutex<Vec<(Duration, String)>>>,
+    is_over: Arc<AtomicBool>,
+}
+
+impl Polling {
+    /// Creates a group without clients.
+    pub fn new(record: &Record) -> Self {
+        Self {
+            record: record.clone(),
+            sent: Arc::default(),
+            is_over: Arc::default(),
+        }
+    }
+
+    /// Starts the client `number`, which asks the VM at `address` for `path` with `pause` between an
+    /// answer and the next request.
+    pub fn start(&self, number: usize, address: SocketAddr, path: &'static str, pause: Duration) {
+        let (record, is_over) = (self.record.clone(), self.is_over.clone());
+        let sent = self.sent.clone();
+        thread::spawn(move || {
+            for count in 0.. {
+                if is_over.load(Ordering::Relaxed) {
+                    return;
+                }
+                let request = Request {
+                    method: "GET",
+                    path,
+                    id: format!("c{number:03}{count:05}"),
+                    deadline: Duration::from_millis(1500),
+                    session: None,
+                    leaves_after: None,
+                };
+                lock(&sent).push((record.now(), request.id.clone()));
+                record.line(format!("request {} is sent to {address}", request.id));
+                let outcome = request.send(address);
+                record.outcome(&request, &outcome);
+                thread::sleep(pause);
+            }
+        });
+    }
+
+    /// Times and ids of the requests so far.
+    pub fn sent(&self) -> Vec<(Duration, String)> {
+        lock(&self.sent).clone()
+    }
+
+    /// Ends the clients. Returns the times and ids of their requests.
+    pub fn end(self) -> Vec<(Duration, String)> {
+        self.is_over.store(true, Ordering::Relaxed);
+        thread::sleep(Duration::from_secs(1));
+        self.sent()
+    }
+}
+
 /// A store, replicas and VMs.
 pub struct Site {
     /// The record.
@@ -100,6 +186,8 @@
     pub store: Store,
     /// Where VMs reach the store.
     pub store_address: SocketAddr,
+    /// Relays between the VMs, if there are any.
+    pub group: Option<Group>,
     /// The VMs.
     pub vms: Vec<Vm>,
     files: PathBuf,
@@ -134,6 +222,7 @@
             record: Record::new(),
             store_address: store.address,
             store,
+            group: None,
             vms: Vec::new(),
             files,
         })
@@ -152,14 +241,22 @@
 
     /// Starts a VM and waits until it is ready.
     pub fn vm(&mut self, name: &str) -> Option<()> {
-        self.begin_vm(name)?;
+        self.begin_vm(name, "zone-a")?;
         self.vms.last()?.wait_until_ready().then_some(())
     }
 
-    /// Starts a VM.
-    pub fn begin_vm(&mut self, name: &str) -> Option<()> {
-        let vm = Vm::start(&self.files, name, "zone-a", self.store_address).ok()?;
-        self.record.line(format!("VM {name} started"));
+    /// Starts a VM in `zone`.
+    pub fn begin_vm(&mut self, name: &str, zone: &str) -> Option<()> {
+        let vm = Vm::start(
+            &self.files,
+            name,
+            zone,
+            self.store_address,
+            self.group.as_ref(),
+        )
+        .ok()?;
+        self.record
+            .line(format!("VM {name} started for clients at {}", vm.callers));
         self.vms.push(vm);
         Some(())
     }
--- a/review/stand-ins-2/store.rs
+++ b/review/stand-ins-2/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -10,8 +11,8 @@
 use crate::http::{self, Head};
 use crate::json::{self, Value};
 
-/// Time that the store takes for an answer.
-const ANSWER_TIME: Duration = Duration::from_millis(4);
+/// Milliseconds that the store takes for an answer.
+const ANSWER_MS: u64 = 4;
 
 /// Table and key of a row.
 type Name = (String, String);
@@ -28,6 +29,7 @@
     state: Mutex<State>,
     changed: Condvar,
     started: Instant,
+    answer_ms: AtomicU64,
 }
 
 #[derive(Default)]
@@ -49,6 +51,7 @@
                 state: Mutex::default(),
                 changed: Condvar::new(),
                 started: Instant::now(),
+                answer_ms: AtomicU64::new(ANSWER_MS),
             }),
         };
         let served = store.clone();
@@ -61,6 +64,12 @@
         Ok(store)
     }
 
+    /// Sets how many times as long as usual answers take.
+    pub fn slow_down(&self, factor: u64) {
+        let time = ANSWER_MS * factor;
+        self.inner.answer_ms.store(time, Ordering::Relaxed);
+    }
+
     /// Writes the row `key` of `table`, as operators and upstreams do.
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut state = self.state();
@@ -110,7 +119,8 @@
         while let Some(head) = http::read_head(&mut reader).ok()? {
             let body = http::read_body(&mut reader, &head, false).ok()?;
             let (status, answer) = self.answer(&head, &String::from_utf8_lossy(&body));
-            thread::sleep(ANSWER_TIME);
+            let time = self.inner.answer_ms.load(Ordering::Relaxed);
+            thread::sleep(Duration::from_millis(time));
             let text = format!(
                 "HTTP/1.1 {status} S\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{answer}",
                 answer.len()
--- a/review/stand-ins-2/vm.rs
+++ b/review/stand-ins-2/vm.rs
@@ -8,6 +8,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crate::between::Group;
+
 /// The program, as the deploy file builds it.
 const PROGRAM: &str = "target/release/cloverpost";
 /// Time in which a process has to be ready.
@@ -23,15 +25,29 @@
 }
 
 impl Vm {
-    /// Starts the VM `name` in `zone`, with its files in `folder`.
-    pub fn start(folder: &Path, name: &str, zone: &str, store: SocketAddr) -> io::Result<Self> {
+    /// Starts the VM `name` in `zone`, with its files in `folder`. Others reach it through a relay of
+    /// `group`, if there is one.
+    pub fn start(
+        folder: &Path,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        group: Option<&Group>,
+    ) -> io::Result<Self> {
         let [callers, readiness, metrics, peers] = free_addresses()?;
+        let relay = match group {
+            Some(group) => format!(
+                "peer-advertised-addr = \"{}\"\n",
+                group.relay("127.0.0.1", peers)?
+            ),
+            None => String::new(),
+        };
         let settings = format!(
             "vm = \"{name}\"\nzone = \"{zone}\"\ncaller-addr = \"{callers}\"\noperator-addr = \"{readiness}\"\n\
              metrics-addr = \"{metrics}\"\npeer-addr = \"{peers}\"\nstore-addr = \"{store}\"\n\
              stop-grace-s = 8\nsession-gap-s = 5\nretry-share = 0.9\nretry-window-s = 10\nretry-slack = 58\n\
              exposure-share = 0.15\nexposure-slack = 30\nleave-ms = 2000\nmax-descriptors = 4100\n\
-             core-share = 0.25\nlink-mbit = 1000.0\nmemory-mb = 260\nnew-site = true\n"
+             core-share = 0.25\nlink-mbit = 1000.0\nmemory-mb = 260\nnew-site = true\n{relay}"
         );
         let file: PathBuf = folder.join(format!("{name}.toml"));
         fs::write(&file, settings)?;
@@ -63,6 +79,13 @@
         false
     }
 
+    /// Stops the process as planned, and waits for its end.
+    pub fn stop(mut self) {
+        let pid = self.child.id().to_string();
+        let _ = Command::new("kill").args(["-TERM", &pid]).status();
+        let _ = self.child.wait();
+    }
+
     fn is_ready(&self) -> bool {
         let ask = || -> io::Result<String> {
             let mut stream = TcpStream::connect(self.readiness)?;
